--- /dev/null
+++ b/pkg/core/query/harness_test.go
@@ -0,0 +1,257 @@
+package query
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+const ms = time.Millisecond
+
+var self = model.MemberRef{VM: "vm0", Incarnation: 0xa}
+
+// fakeView holds two layouts; shard i has the replicas s<i>a and s<i>b, owned
+// by vm1 and vm2.
+type fakeView struct {
+	self     model.MemberRef
+	bundle   *model.Bundle
+	controls *model.Controls
+	refuse   string
+	owners   map[model.ServerName]model.Member
+	reports  map[model.ServerName]model.ServerReport
+	peers    []model.MemberReport
+}
+
+func (v *fakeView) Self() model.MemberRef            { return v.self }
+func (v *fakeView) Bundle() *model.Bundle            { return v.bundle }
+func (v *fakeView) Controls() *model.Controls        { return v.controls }
+func (v *fakeView) Epoch() uint64                    { return 3 }
+func (v *fakeView) Admits(event.Meta) (bool, string) { return v.refuse == "", v.refuse }
+func (v *fakeView) Peers() []model.MemberReport      { return v.peers }
+func (v *fakeView) Owner(n model.ServerName) (model.Member, bool) {
+	m, ok := v.owners[n]
+	return m, ok
+}
+func (v *fakeView) Report(n model.ServerName) (model.ServerReport, bool) {
+	r, ok := v.reports[n]
+	return r, ok
+}
+
+func member(vm model.VM, domain model.FailureDomain) model.Member {
+	return model.Member{
+		MemberRef:     model.MemberRef{VM: vm, Incarnation: 0xa},
+		FailureDomain: domain, PeerAddress: string(vm) + ":1", CallerAddress: string(vm) + ":2",
+	}
+}
+
+func newView(shards int) *fakeView {
+	v := &fakeView{
+		self: self, controls: &model.Controls{},
+		owners:  map[model.ServerName]model.Member{},
+		reports: map[model.ServerName]model.ServerReport{},
+	}
+	layout := model.Layout{Name: "l1"}
+	b := &model.Bundle{Version: 7}
+	for i := range shards {
+		name := model.ShardName(fmt.Sprintf("sh%02d", i))
+		sh := model.Shard{Name: name, From: fmt.Sprintf("%02d", i), To: fmt.Sprintf("%02d", i+1)}
+		for j, suffix := range []string{"a", "b"} {
+			server := model.ServerName(fmt.Sprintf("s%02d%s", i, suffix))
+			sh.Replicas = append(sh.Replicas, server)
+			domain := model.FailureDomain("d" + strconv.Itoa(j+1))
+			b.Servers = append(b.Servers, model.BackendServer{Name: server, FailureDomain: domain})
+			v.owners[server] = member(model.VM("vm"+strconv.Itoa(j+1)), domain)
+			v.reports[server] = model.ServerReport{Server: server, Usable: true, Limit: 2,
+				Serves: []model.Serving{{Layout: "l1", Shard: name, Versions: []uint64{4, 5}}}}
+		}
+		layout.Shards = append(layout.Shards, sh)
+	}
+	b.Services = []model.Service{{
+		Name: "arhiv", Layouts: []model.Layout{layout},
+		Callers: []model.Caller{{Name: "bench", Share: 0.5}, {Name: "batch", Share: 0.1}},
+		Policy: model.Policy{Mode: model.CoverageFirst, Routing: model.RoutingOwned, MaxDeadline: time.Second,
+			HedgePercentile: 95, HedgeBudget: 0.05, RetryBudget: 0.1, MaxInFlight: 1000},
+	}}
+	b.Index()
+	v.bundle = b
+	for i, d := range []model.FailureDomain{"d1", "d1", "d2"} {
+		v.peers = append(v.peers, model.MemberReport{Member: member(model.VM("vm"+strconv.Itoa(i)), d), Serving: true})
+	}
+	return v
+}
+
+func (v *fakeView) policy() *model.Policy { return &v.bundle.Services[0].Policy }
+
+// versions sets what the reports say of a shard's replicas.
+func (v *fakeView) versions(server model.ServerName, versions ...uint64) {
+	r := v.reports[server]
+	serving := r.Serves[0]
+	serving.Versions = versions
+	r.Serves = []model.Serving{serving}
+	v.reports[server] = r
+}
+
+// harness drives a State and sorts its effects.
+type harness struct {
+	t     testing.TB
+	v     *fakeView
+	s     *State
+	meta  event.Meta
+	token event.Token
+
+	out     effect.List
+	opened  []effect.OpenExecute
+	replies map[event.Token]effect.ReplyQuery
+}
+
+func newHarness(t testing.TB, shards int) *harness {
+	v := newView(shards)
+	return &harness{t: t, v: v, s: New(Config{View: v}),
+		meta:    event.Meta{Now: model.Time(time.Second), Wall: 1_000_000, Rand: 5},
+		replies: map[event.Token]effect.ReplyQuery{}}
+}
+
+// take sorts the effects of one event.
+func (h *harness) take() {
+	h.t.Helper()
+	for _, e := range h.out.Effects {
+		switch e := e.(type) {
+		case effect.OpenExecute:
+			h.opened = append(h.opened, e)
+		case effect.ReplyQuery:
+			if _, ok := h.replies[e.Token]; ok {
+				h.t.Fatalf("second reply to %d", e.Token)
+			}
+			if (e.Answer == nil) == (e.Refusal == nil) {
+				h.t.Fatalf("reply needs exactly one of answer and refusal: %+v", e)
+			}
+			h.replies[e.Token] = e
+		}
+	}
+}
+
+func (h *harness) reset() { h.out.Effects = h.out.Effects[:0] }
+
+// advance moves the clocks, ticking whenever the state asks for it.
+func (h *harness) advance(d time.Duration) {
+	h.t.Helper()
+	end := h.meta.Now.Add(d)
+	for h.s.NextWake() <= end {
+		h.set(max(h.s.NextWake(), h.meta.Now))
+		h.reset()
+		h.s.Tick(h.meta, &h.out)
+		h.take()
+	}
+	h.set(end)
+}
+
+func (h *harness) set(now model.Time) {
+	h.meta.Wall += now.Sub(h.meta.Now).Milliseconds()
+	h.meta.Now = now
+}
+
+func (h *harness) query(id string, change func(*event.QueryArrived)) event.Token {
+	h.t.Helper()
+	h.token++
+	e := event.QueryArrived{Token: h.token, Request: model.Request{
+		ID: model.RequestID(id), Service: "arhiv", Caller: "bench", Class: model.Normal,
+		Idempotent: true, Deadline: h.meta.Now.Add(500 * ms), Query: "q",
+	}}
+	if change != nil {
+		change(&e)
+	}
+	h.reset()
+	h.s.QueryArrived(h.meta, e, &h.out)
+	h.take()
+	return h.token
+}
+
+func once(e *event.QueryArrived) { e.Request.Idempotent = false }
+
+// subs takes the sub-requests sent since the last call.
+func (h *harness) subs() []sent {
+	var all []sent
+	for _, o := range h.opened {
+		for _, sub := range o.Subs {
+			all = append(all, sent{o.Stream, sub})
+		}
+	}
+	h.opened = nil
+	return all
+}
+
+type sent struct {
+	stream event.StreamID
+	sub    model.SubRequest
+}
+
+func (x sent) result(o model.Outcome) event.SubResultArrived {
+	r := event.SubResultArrived{Stream: x.stream, Result: model.SubResult{
+		Attempt: x.sub.Attempt, Shard: x.sub.Shard, Server: x.sub.Server, Snapshot: x.sub.Snapshot, Outcome: o,
+	}}
+	if o == model.OutcomeOK {
+		id := fmt.Sprintf("%s@%d", x.sub.Shard, x.sub.Snapshot.IndexVersion)
+		r.Result.Items = []model.Item{{ID: id, Score: float64(x.sub.Attempt)}}
+		r.Result.Count = 1
+	}
+	return r
+}
+
+func (h *harness) post(r event.SubResultArrived) {
+	h.t.Helper()
+	h.reset()
+	h.s.SubResultArrived(h.meta, r, &h.out)
+	h.take()
+}
+
+func (h *harness) ended(stream event.StreamID, notSent bool) {
+	h.t.Helper()
+	h.reset()
+	h.s.ExecuteEnded(h.meta, event.ExecuteEnded{Stream: stream, NotSent: notSent}, &h.out)
+	h.take()
+}
+
+func (h *harness) answer(t event.Token) *model.Answer {
+	h.t.Helper()
+	a := h.replies[t].Answer
+	if a == nil {
+		h.t.Fatalf("no answer to %d: %+v", t, h.replies[t].Refusal)
+	}
+	if a.Asked != a.Answered+len(a.Missing) || a.Complete != (len(a.Missing) == 0) {
+		h.t.Fatalf("wrong coverage: %+v", a)
+	}
+	return a
+}
+
+func (h *harness) refusal(t event.Token, kind model.RefusalKind) *model.Refusal {
+	h.t.Helper()
+	r := h.replies[t].Refusal
+	if r == nil || r.Kind != kind {
+		h.t.Fatalf("want %s, got %+v and %+v", kind, r, h.replies[t].Answer)
+	}
+	return r
+}
+
+// freed fails unless nothing is left of any query.
+func (h *harness) freed() {
+	h.t.Helper()
+	s := h.s
+	left := len(s.runs) + len(s.streams) + len(s.forwards) + len(s.timers.timers) + s.Running()
+	for _, sv := range s.services {
+		left += sv.running + len(sv.callers)
+	}
+	if left != 0 {
+		h.t.Fatalf("state left behind: %d runs, %d streams, %d forwards, %d timers, %d running",
+			len(s.runs), len(s.streams), len(s.forwards), len(s.timers.timers), s.Running())
+	}
+}
+
+// id returns a request id that self may start.
+func (h *harness) id(n int) string {
+	return requestIDPrefix(self, h.meta.Wall, 1) + "." + strconv.Itoa(n)
+}
