--- a/pkg/logevent/documents.go
+++ b/pkg/logevent/documents.go
@@ -1,4 +1,23 @@
 package logevent
 
+import "github.com/apex/log"
+
+// Log events of documents.
+const (
+	DocumentInForce ID = 1300 + iota
+	DocumentIgnored
+	DocumentFetchFailed
+	DocumentConfirmed
+	DocumentConfirmFailed
+	DocumentsReady
+)
+
 // Log events 1300 to 1399, of the component documents.
-var documentsEvents = []Def{}
+var documentsEvents = []Def{
+	{DocumentInForce, "document_in_force", log.InfoLevel, "a new version of a document is in effect"},
+	{DocumentIgnored, "document_ignored", log.WarnLevel, "a copy of a document is older than the one in effect and was ignored"},
+	{DocumentFetchFailed, "document_fetch_failed", log.WarnLevel, "a document could not be read or was rejected by its checks"},
+	{DocumentConfirmed, "document_confirmed", log.InfoLevel, "the platform confirmed that the copy read from it is current"},
+	{DocumentConfirmFailed, "document_confirm_failed", log.WarnLevel, "the platform did not confirm the copy read from it; it is read again"},
+	{DocumentsReady, "documents_ready", log.InfoLevel, "this daemon has the highest versions that it was offered at the start"},
+}
--- a/pkg/logevent/membership.go
+++ b/pkg/logevent/membership.go
@@ -1,4 +1,49 @@
 package logevent
 
+import "github.com/apex/log"
+
+// Log events of membership.
+const (
+	LeaseGained ID = 1200 + iota
+	LeaseLost
+	IncarnationFenced
+	MemberFenced
+	EpochLearned
+	EpochActive
+	EpochClosed
+	EpochProposed
+	EpochWritten
+	EpochWriteFailed
+	OwnershipGained
+	OwnershipLost
+	HandoverSent
+	HandoverReceived
+	HandoverFailed
+	PanelMemberGone
+	PanelMemberRestarted
+	LeaveStarted
+	LeaveEnded
+)
+
 // Log events 1200 to 1299, of the component membership.
-var membershipEvents = []Def{}
+var membershipEvents = []Def{
+	{LeaseGained, "lease_gained", log.InfoLevel, "a majority of the panel granted this daemon a lease"},
+	{LeaseLost, "lease_lost", log.WarnLevel, "this daemon's lease ran out; it takes no new work until it is renewed"},
+	{IncarnationFenced, "incarnation_fenced", log.WarnLevel, "a majority of the panel fenced this incarnation; the daemon continues as a new one that owns nothing"},
+	{MemberFenced, "member_fenced", log.WarnLevel, "this panel member promised never to renew a member's lease in the epoch"},
+	{EpochLearned, "epoch_learned", log.InfoLevel, "this daemon learned of a new epoch"},
+	{EpochActive, "epoch_active", log.InfoLevel, "no lease of the epoch before can be valid any more"},
+	{EpochClosed, "epoch_closed", log.InfoLevel, "this panel member grants and fences nothing more in the epoch"},
+	{EpochProposed, "epoch_proposed", log.InfoLevel, "this daemon is writing a new epoch"},
+	{EpochWritten, "epoch_written", log.InfoLevel, "this daemon wrote a new epoch"},
+	{EpochWriteFailed, "epoch_write_failed", log.WarnLevel, "a new epoch was not written, or the outcome is unknown; the object is read back"},
+	{OwnershipGained, "ownership_gained", log.InfoLevel, "this daemon now owns the backend server"},
+	{OwnershipLost, "ownership_lost", log.InfoLevel, "this daemon no longer owns the backend server"},
+	{HandoverSent, "handover_sent", log.InfoLevel, "this daemon passes ownership of backend servers to another daemon"},
+	{HandoverReceived, "handover_received", log.InfoLevel, "another daemon passed ownership of backend servers to this daemon"},
+	{HandoverFailed, "handover_failed", log.WarnLevel, "a handover was refused or its answer is missing; it is repeated while it is of use"},
+	{PanelMemberGone, "panel_member_gone", log.WarnLevel, "the VM list no longer shows a panel member's VM"},
+	{PanelMemberRestarted, "panel_member_restarted", log.WarnLevel, "a panel member answered with another incarnation and has lost its promises"},
+	{LeaveStarted, "leave_started", log.InfoLevel, "this daemon started to hand over its backend servers"},
+	{LeaveEnded, "leave_ended", log.InfoLevel, "this daemon owns nothing any more and resigned its lease"},
+}
--- a/pkg/model/member.go
+++ b/pkg/model/member.go
@@ -11,6 +11,16 @@
 	Panel []MemberRef
 	// PreviousPanel granted the leases of the epoch before.
 	PreviousPanel []MemberRef
+	// Servers are the backend servers that have an owner in this epoch, by
+	// name. The order of owners uses the failure domain given here and not the
+	// bundle's, so that two daemons with different bundles agree on it.
+	Servers []ServerHome
+}
+
+// ServerHome says in which failure domain a backend server is.
+type ServerHome struct {
+	Server        ServerName
+	FailureDomain FailureDomain
 }
 
 // Member is a daemon that may own backend servers.
