--- a/pkg/logevent/runtime.go
+++ b/pkg/logevent/runtime.go
@@ -1,4 +1,22 @@
 package logevent
 
+import "github.com/apex/log"
+
 // Log events 1400 to 1499, of the component runtime.
-var runtimeEvents = []Def{}
+const (
+	RuntimeQueueFull      ID = 1400
+	RuntimeStreamOverflow ID = 1401
+	RuntimeLateReply      ID = 1402
+	RuntimeDuplicate      ID = 1403
+	RuntimeExit           ID = 1404
+	RuntimeRecordFailed   ID = 1405
+)
+
+var runtimeEvents = []Def{
+	{RuntimeQueueFull, "runtime_queue_full", log.WarnLevel, "The event queue has no room for new caller work; requests are refused as not run."},
+	{RuntimeStreamOverflow, "runtime_stream_overflow", log.ErrorLevel, "More results came for an Execute stream than it has sub-requests; the stream was ended."},
+	{RuntimeLateReply, "runtime_late_reply", log.DebugLevel, "A reply came for a request whose caller or peer is gone."},
+	{RuntimeDuplicate, "runtime_duplicate_stream", log.WarnLevel, "A peer opened an Execute stream with a number that is in use; it was refused."},
+	{RuntimeExit, "runtime_exit", log.InfoLevel, "The event loop ended."},
+	{RuntimeRecordFailed, "runtime_record_failed", log.ErrorLevel, "The trace of events could not be written; recording stopped."},
+}
