Add clients of platform, backend servers and peers, and the caller API

The daemon needs I/O layers whose failures say whether a message can have had an effect. Each client sends once and translates failures into typed errors or outcomes; none of them lets net/http repeat a request.

--- /dev/null
+++ b/pkg/api/handler.go
@@ -0,0 +1,155 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// Frontend takes the work of callers.
+type Frontend interface {
+	// Query runs a request with the given time left. One of the results is
+	// set, or neither when ctx ended first.
+	Query(ctx context.Context, req model.Request, left time.Duration) (*model.Answer, *model.Refusal)
+	// Lookup returns the addresses for a caller, or nil when ctx ended first.
+	Lookup(ctx context.Context, service model.ServiceName, caller model.CallerName) *effect.ReplyLookup
+	// Header returns the versions to state in a response.
+	Header() model.Header
+}
+
+type handler struct{ front Frontend }
+
+// NewHandler returns the HTTP handler of the caller API.
+func NewHandler(front Frontend) http.Handler {
+	h := &handler{front: front}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/lookup", h.lookup)
+	mux.HandleFunc("POST /v1/services/{service}/query", h.query)
+	return mux
+}
+
+func (h *handler) lookup(w http.ResponseWriter, r *http.Request) {
+	service := model.ServiceName(r.FormValue("service"))
+	caller := model.CallerName(r.FormValue("caller"))
+	if service == "" || caller == "" {
+		h.refuse(w, invalidRefusal("", "service and caller are required"))
+		return
+	}
+	reply := h.front.Lookup(r.Context(), service, caller)
+	switch {
+	case reply == nil:
+		h.refuse(w, &model.Refusal{Kind: model.NotRun, Reason: "no reply to the lookup in time"})
+	case reply.Refusal != nil:
+		h.refuse(w, reply.Refusal)
+	default:
+		h.lookupReply(w, reply)
+	}
+}
+
+func (h *handler) lookupReply(w http.ResponseWriter, reply *effect.ReplyLookup) {
+	body, err := json.Marshal(NewLookup(reply))
+	if err != nil {
+		h.refuse(w, &model.Refusal{Kind: model.NotRun, Reason: err.Error()})
+		return
+	}
+	h.write(w, http.StatusOK, body)
+}
+
+func (h *handler) query(w http.ResponseWriter, r *http.Request) {
+	var in QueryRequest
+	err := decodeStrict(http.MaxBytesReader(w, r.Body, MaxBody), &in)
+	if err == nil {
+		err = in.Validate()
+	}
+	if err != nil {
+		h.refuse(w, invalidRefusal(in.RequestID, reason(err)))
+		return
+	}
+	req, left := in.request(model.ServiceName(r.PathValue("service")))
+	answer, refusal := h.front.Query(r.Context(), req, left)
+	switch {
+	case answer != nil:
+		h.answer(w, answer)
+	case refusal != nil:
+		h.refuse(w, refusal)
+	default:
+		// The caller is gone; the work it started may have run.
+		h.refuse(w, &model.Refusal{RequestID: req.ID, Kind: model.MayHaveRun, Reason: "abandoned by the caller"})
+	}
+}
+
+func (h *handler) answer(w http.ResponseWriter, a *model.Answer) {
+	body, err := EncodeAnswer(a, h.front.Header().Epoch)
+	if err != nil {
+		h.refuse(w, &model.Refusal{RequestID: a.RequestID, Kind: model.MayHaveRun, Reason: err.Error()})
+		return
+	}
+	h.write(w, http.StatusOK, body)
+}
+
+// statusOf is the HTTP status of a refusal.
+func statusOf(kind model.RefusalKind) int {
+	switch kind {
+	case model.NotRun:
+		return http.StatusServiceUnavailable
+	case model.Invalid:
+		return http.StatusBadRequest
+	}
+	return http.StatusBadGateway
+}
+
+func (h *handler) refuse(w http.ResponseWriter, r *model.Refusal) {
+	body, err := json.Marshal(NewRefusal(r))
+	if err != nil {
+		http.Error(w, "cannot encode refusal", http.StatusBadGateway)
+		return
+	}
+	if r.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	h.write(w, statusOf(r.Kind), body)
+}
+
+func (h *handler) write(w http.ResponseWriter, status int, body []byte) {
+	header := h.front.Header()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set(HeaderBundleVersion, strconv.FormatUint(header.BundleVersion, 10))
+	w.Header().Set(HeaderEpoch, strconv.FormatUint(header.Epoch, 10))
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_, _ = w.Write(body)
+}
+
+func invalidRefusal(id model.RequestID, reason string) *model.Refusal {
+	return &model.Refusal{RequestID: id, Kind: model.Invalid, Reason: reason}
+}
+
+// reason is the text of an error for the caller.
+func reason(err error) string {
+	if e := new(InvalidError); errors.As(err, &e) {
+		return e.Reason
+	}
+	return err.Error()
+}
+
+// decodeStrict reads exactly one JSON value without unknown fields.
+func decodeStrict(r io.Reader, into any) error {
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return invalid("body: %v", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return invalid("body: more than one JSON value or above %d bytes", MaxBody)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/backend/body.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// deadlineWidth is the number of bytes reserved for deadline_ms, so that the
+// length of the body is known before the value is.
+const deadlineWidth = 12
+
+var (
+	// errExpired fails a body whose request has no time left.
+	errExpired = errors.New("backend: no time left")
+	// errBodyRead fails a second reading of a body.
+	errBodyRead = errors.New("backend: request body was already sent")
+)
+
+// searchBody is the body of POST /v1/search without deadline_ms.
+type searchBody struct {
+	AttemptID    model.AttemptID   `json:"attempt_id"`
+	RequestID    model.RequestID   `json:"request_id"`
+	Service      model.ServiceName `json:"service"`
+	Layout       model.LayoutName  `json:"layout"`
+	Shard        model.ShardName   `json:"shard"`
+	IndexVersion uint64            `json:"index_version"`
+	Query        string            `json:"query"`
+	Key          string            `json:"key,omitempty"`
+	TopK         int               `json:"top_k"`
+	Idempotent   bool              `json:"idempotent"`
+}
+
+// lateBody is a request body that can be read once. It sets deadline_ms, the
+// time left, when the transport starts to send it: time spent waiting for a
+// connection, or a pause of the process, would otherwise let the server work
+// past the owner's lease.
+type lateBody struct {
+	prefix   []byte
+	deadline time.Time
+	unread   []byte
+	started  bool
+	closed   bool
+}
+
+// newBody encodes the sub-request.
+func newBody(sub *model.SubRequest, deadline time.Time) (*lateBody, error) {
+	encoded, err := json.Marshal(searchBody{
+		AttemptID:    sub.Attempt,
+		RequestID:    sub.RequestID,
+		Service:      sub.Service,
+		Layout:       sub.Snapshot.Layout,
+		Shard:        sub.Shard,
+		IndexVersion: sub.Snapshot.IndexVersion,
+		Query:        sub.Query,
+		Key:          sub.Key,
+		TopK:         sub.TopK,
+		Idempotent:   sub.Idempotent,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("backend: encode sub-request: %w", err)
+	}
+	prefix := append(encoded[:len(encoded)-1], `,"deadline_ms":`...)
+	return &lateBody{prefix: prefix, deadline: deadline}, nil
+}
+
+// size returns the length of the body in bytes.
+func (b *lateBody) size() int64 { return int64(len(b.prefix) + deadlineWidth + 1) }
+
+// Read implements io.Reader.
+func (b *lateBody) Read(p []byte) (int, error) {
+	if b.closed {
+		return 0, errBodyRead
+	}
+	if !b.started {
+		b.started = true
+		left := time.Until(b.deadline).Milliseconds()
+		if left <= 0 {
+			return 0, errExpired
+		}
+		b.unread = fmt.Appendf(b.prefix, "%-*d}", deadlineWidth, left)
+	}
+	if len(b.unread) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.unread)
+	b.unread = b.unread[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (b *lateBody) Close() error {
+	b.closed = true
+	return nil
+}
--- /dev/null
+++ b/pkg/backend/client.go
@@ -0,0 +1,182 @@
+// Package backend is the client of backend servers. Each server has its own
+// transport with a bounded number of connections. A request is sent at most
+// once, and a failure says whether a byte of it can have left.
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+const (
+	// defaultConnections is the limit for a server that no WarmConnections
+	// effect has named.
+	defaultConnections = 8
+	// dialTimeout bounds the connection setup.
+	dialTimeout = time.Second
+	// warmTimeout bounds the requests that open connections.
+	warmTimeout = 5 * time.Second
+	// warmInterval is shorter than a server's usual idle timeout, so that
+	// connections stay open.
+	warmInterval = 15 * time.Second
+	// idleTimeout closes connections that were not kept warm.
+	idleTimeout = 60 * time.Second
+	// maxReply bounds a response body in bytes.
+	maxReply = 16 << 20
+)
+
+// Client calls backend servers. It is safe for concurrent use.
+type Client struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	closed bool
+	pools  map[model.ServerName]*pool
+}
+
+// pool holds the connections to one server.
+type pool struct {
+	address   string
+	limit     int
+	transport *http.Transport
+	http      *http.Client
+	// stop ends keeping connections warm; nil when they are not kept.
+	stop context.CancelFunc
+}
+
+// New returns a client without connections.
+func New() *Client {
+	return &Client{
+		dialer: net.Dialer{Timeout: dialTimeout},
+		pools:  make(map[model.ServerName]*pool),
+	}
+}
+
+// Close ends the upkeep of connections and closes idle ones.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for name, p := range c.pools {
+		p.close()
+		delete(c.pools, name)
+	}
+}
+
+// dial opens a connection whose written bytes are counted.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn}, nil
+}
+
+// newPool returns a pool of at most limit connections. It speaks HTTP/1.1
+// only: there one connection carries one request at a time, so bytes written
+// on it belong to that request.
+func (c *Client) newPool(address string, limit int) *pool {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	t := &http.Transport{
+		DialContext:         c.dial,
+		MaxConnsPerHost:     limit,
+		MaxIdleConnsPerHost: limit,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		Protocols:           protocols,
+	}
+	return &pool{address: address, limit: limit, transport: t, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+}
+
+// noRedirect returns redirects as they are: following one would send the
+// request a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// pool returns the server's pool, made on first use or when the address
+// changed.
+func (c *Client) pool(server model.ServerName, address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[server]
+	if p == nil || p.address != address {
+		p = c.replace(server, address, defaultConnections)
+	}
+	return p
+}
+
+// replace puts a new pool in the place of the server's old one, whose running
+// requests end on their own connections.
+func (c *Client) replace(server model.ServerName, address string, limit int) *pool {
+	if old := c.pools[server]; old != nil {
+		old.close()
+	}
+	p := c.newPool(address, limit)
+	c.pools[server] = p
+	return p
+}
+
+func (p *pool) close() {
+	if p.stop != nil {
+		p.stop()
+		p.stop = nil
+	}
+	p.transport.CloseIdleConnections()
+}
+
+// Warm keeps count connections to the server open; 0 closes idle ones and
+// forgets the server.
+func (c *Client) Warm(server model.ServerName, address string, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	p := c.pools[server]
+	if count <= 0 {
+		if p != nil {
+			p.close()
+			delete(c.pools, server)
+		}
+		return
+	}
+	if p != nil && p.address == address && p.limit == count && p.stop != nil {
+		return
+	}
+	p = c.replace(server, address, count)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	go p.keepWarm(ctx)
+}
+
+// keepWarm opens the pool's connections and uses them often enough that the
+// server does not close them.
+func (p *pool) keepWarm(ctx context.Context) {
+	ticker := time.NewTicker(warmInterval)
+	defer ticker.Stop()
+	for {
+		p.warm(ctx)
+		select {
+		case <-ctx.Done():
+			p.transport.CloseIdleConnections()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// warm sends one status request per connection at once. Errors are left to the
+// requests that matter.
+func (p *pool) warm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for range p.limit {
+		wg.Go(func() { _, _ = p.status(ctx) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/pkg/platform/client.go
@@ -0,0 +1,90 @@
+// Package platform is the client of the platform's object API and VM list.
+// All calls of a daemon go through one Client, which keeps to a budget of
+// calls and backs off together after failures. The client never repeats a
+// write: what to do after ErrUnknownOutcome is the caller's decision.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// MaxValue is the platform's limit on an object's value in bytes.
+	MaxValue = 1 << 20
+	// maxReply bounds a reply: a value of MaxValue in base64 and its envelope,
+	// or a long list.
+	maxReply = 4 << 20
+	// maxWaiting bounds the calls that wait for the budget or a pause, so that
+	// a long outage collects no work.
+	maxWaiting = 64
+	// dialTimeout bounds the connection setup.
+	dialTimeout = time.Second
+)
+
+// Options configure a Client.
+type Options struct {
+	// URL is the base URL of the platform, without a path.
+	URL string
+	// Rate is the budget in calls per second, and Burst the calls that may be
+	// made at once.
+	Rate  float64
+	Burst int
+	// OnCall, if set, is told the operation and result of each call made.
+	OnCall func(operation, result string)
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	url     string
+	http    *http.Client
+	limiter *rate.Limiter
+	pause   backoff
+	onCall  func(operation, result string)
+	calls   atomic.Uint64
+	waiting atomic.Int64
+}
+
+// New returns a client with one budget for all its calls.
+func New(o Options) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	onCall := o.OnCall
+	if onCall == nil {
+		onCall = func(string, string) {}
+	}
+	return &Client{
+		url:     strings.TrimSuffix(o.URL, "/"),
+		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4}},
+		limiter: rate.NewLimiter(rate.Limit(o.Rate), o.Burst),
+		onCall:  onCall,
+	}
+}
+
+// Calls returns the number of calls sent to the platform; a watch counts as
+// one per poll.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// admit waits for the end of a pause and for the budget.
+func (c *Client) admit(ctx context.Context) error {
+	defer c.waiting.Add(-1)
+	if c.waiting.Add(1) > maxWaiting {
+		return fmt.Errorf("%w: %d calls are waiting", ErrUnavailable, maxWaiting)
+	}
+	if err := c.pause.wait(ctx); err != nil {
+		return fmt.Errorf("%w: backing off: %w", ErrUnavailable, err)
+	}
+	if err := c.limiter.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: call budget used up: %w", ErrUnavailable, err)
+	}
+	return nil
+}
