Add the event loop, traces, metrics and the daemon wiring

The reducer needs something that feeds it events and carries out its effects. pkg/runtime does so from one goroutine with a bounded queue; pkg/trace records and replays its events; pkg/daemon runs it with its listeners in one run.Group. pkg/metrics and pkg/daemon need the transitive modules of client_golang in go.sum, which the committed go.sum lacks.

--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,234 @@
+// Package daemon wires the reducer, its runtime and the servers of a daemon
+// into one process.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/pistachiousher/pistachiousher/pkg/backend"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
+	"github.com/pistachiousher/pistachiousher/pkg/metrics"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/peer"
+	"github.com/pistachiousher/pistachiousher/pkg/platform"
+	"github.com/pistachiousher/pistachiousher/pkg/runtime"
+)
+
+// Addresses are the addresses that the daemon listens on, host:port.
+type Addresses struct {
+	Caller string
+	Peer   string
+	Admin  string
+}
+
+// Options describe a daemon.
+type Options struct {
+	VM     model.VM
+	Region string
+	// Listen are the addresses to listen on; port 0 takes a free port.
+	Listen Addresses
+	// Platform is the base URL of the platform; PlatformRate and PlatformBurst
+	// are its budget in calls per second and calls at once.
+	Platform      string
+	PlatformRate  float64
+	PlatformBurst int
+	// NewCore makes the reducer once the addresses are known.
+	NewCore func(Addresses) (runtime.Core, error)
+	// Decode checks and decodes a bundle or controls document.
+	Decode func(kind event.DocumentKind, raw []byte) (event.Document, error)
+	// Queue is the capacity of the event queue; 0 is the default.
+	Queue int
+	// LogOutput gets JSON lines of LogLevel and above; nil is standard error.
+	LogOutput io.Writer
+	LogLevel  log.Level
+	// Recorder records the event stream; nil for none.
+	Recorder runtime.Recorder
+	// Listening, if set, is told the addresses when all listeners are open.
+	Listening func(Addresses)
+}
+
+// ErrOptions means that the options are incomplete.
+var ErrOptions = errors.New("daemon: invalid options")
+
+func (o *Options) check() error {
+	switch {
+	case o.VM == "":
+		return fmt.Errorf("%w: no VM name", ErrOptions)
+	case o.Region == "":
+		return fmt.Errorf("%w: no region", ErrOptions)
+	case o.Platform == "":
+		return fmt.Errorf("%w: no platform URL", ErrOptions)
+	case o.PlatformRate <= 0 || o.PlatformBurst <= 0:
+		return fmt.Errorf("%w: no budget of platform calls", ErrOptions)
+	case o.NewCore == nil || o.Decode == nil:
+		return fmt.Errorf("%w: no core or decoder", ErrOptions)
+	}
+	return nil
+}
+
+// daemon is one running daemon.
+type daemon struct {
+	options  Options
+	registry *prometheus.Registry
+	metrics  *metrics.Metrics
+	log      *runtime.LogWriter
+	platform *platform.Client
+	backends *backend.Client
+	peers    *peer.Client
+	loop     *runtime.Loop
+}
+
+// Run runs a daemon until it has stopped gracefully, which SIGTERM, SIGINT or
+// the end of ctx start, or until it fails.
+func Run(ctx context.Context, o Options) error {
+	if err := o.check(); err != nil {
+		return err
+	}
+	listeners, err := listen(o.Listen)
+	if err != nil {
+		return err
+	}
+	defer listeners.close()
+	d, err := newDaemon(o, listeners.addresses())
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	var g run.Group
+	d.addLoop(&g)
+	d.addServers(&g, listeners)
+	d.addSignals(ctx, &g)
+	d.addLog(&g)
+	d.started(listeners.addresses())
+	return result(g.Run())
+}
+
+// result translates the error that ended the group; an exit by the reducer is
+// not an error.
+func result(err error) error {
+	if errors.Is(err, errExited) {
+		return nil
+	}
+	return fmt.Errorf("daemon: %w", err)
+}
+
+func newDaemon(o Options, addresses Addresses) (*daemon, error) {
+	core, err := o.NewCore(addresses)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: make the reducer: %w", err)
+	}
+	d := &daemon{options: o, registry: prometheus.NewRegistry()}
+	if d.metrics, err = metrics.New(d.registry); err != nil {
+		return nil, err
+	}
+	if d.options.LogOutput == nil {
+		d.options.LogOutput = os.Stderr
+	}
+	d.log = runtime.NewLogWriter(d.options.LogOutput, o.LogLevel, d.metrics.LogEvent)
+	d.platform = platform.New(platform.Options{
+		URL:    o.Platform,
+		Rate:   o.PlatformRate,
+		Burst:  o.PlatformBurst,
+		OnCall: d.metrics.PlatformCall,
+	})
+	d.backends = backend.New()
+	d.peers = peer.NewClient(d.metrics.PeerTraffic)
+	d.loop = runtime.New(runtime.Config{
+		Core:     core,
+		Peers:    d.peers,
+		Backends: d.backends,
+		Platform: d.platform,
+		Decode:   o.Decode,
+		Region:   o.Region,
+		Log:      d.log,
+		Recorder: o.Recorder,
+		Observer: d.metrics,
+		Queue:    o.Queue,
+	})
+	if err := d.registerStatus(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *daemon) registerStatus() error {
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return metrics.RegisterStatus(d.registry, metrics.Sources{
+		Status:     d.status,
+		Header:     d.loop.Header,
+		LogDropped: d.log.Dropped,
+	})
+}
+
+func (d *daemon) status() model.DaemonStatus {
+	s, _ := d.loop.Status()
+	return s
+}
+
+func (d *daemon) close() {
+	d.backends.Close()
+	d.peers.Close()
+	d.platform.Close()
+}
+
+func (d *daemon) started(a Addresses) {
+	d.log.Write(logevent.DaemonStarted, []logevent.Field{
+		logevent.Str("vm", d.options.VM),
+		logevent.Str("caller_address", a.Caller),
+		logevent.Str("peer_address", a.Peer),
+		logevent.Str("admin_address", a.Admin),
+	})
+	if d.options.Listening != nil {
+		d.options.Listening(a)
+	}
+}
+
+// listeners are the open listeners.
+type listeners struct{ caller, peer, admin net.Listener }
+
+func listen(a Addresses) (*listeners, error) {
+	l := new(listeners)
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{{a.Caller, &l.caller}, {a.Peer, &l.peer}, {a.Admin, &l.admin}} {
+		ln, err := net.Listen("tcp", one.address)
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("daemon: listen on %s: %w", one.address, err)
+		}
+		*one.into = ln
+	}
+	return l, nil
+}
+
+func (l *listeners) addresses() Addresses {
+	return Addresses{
+		Caller: l.caller.Addr().String(),
+		Peer:   l.peer.Addr().String(),
+		Admin:  l.admin.Addr().String(),
+	}
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.caller, l.peer, l.admin} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// stopSignals start the graceful shutdown.
+var stopSignals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
--- /dev/null
+++ b/pkg/runtime/backends.go
@@ -0,0 +1,75 @@
+package runtime
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/backend"
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// Backends calls backend servers; *backend.Client implements it.
+type Backends interface {
+	Search(ctx context.Context, address string, sub *model.SubRequest, deadline time.Time) backend.Reply
+	Status(ctx context.Context, server model.ServerName, address string) (backend.Status, error)
+	Warm(server model.ServerName, address string, count int)
+}
+
+// pollTimeout bounds a status request.
+const pollTimeout = 2 * time.Second
+
+// backendCall names a running CallBackend.
+type backendCall struct {
+	from    model.MemberRef
+	attempt model.AttemptID
+}
+
+// callBackend runs a sub-request at its server. Each call ends in exactly one
+// BackendAnswered. An attempt that is already running is not started again: a
+// peer that repeats an attempt id must not run a request twice.
+func (l *Loop) callBackend(e effect.CallBackend) {
+	key := backendCall{from: e.From, attempt: e.Sub.Attempt}
+	ctx, cancel := context.WithCancel(l.ctx)
+	if !l.calls.add(key, cancel) {
+		cancel()
+		l.log(logevent.RuntimeDuplicate, logevent.Str("from", e.From.String()), logevent.Int("attempt", e.Sub.Attempt))
+		return
+	}
+	l.start(func(context.Context) {
+		defer cancel()
+		reply := l.cfg.Backends.Search(ctx, e.Address, &e.Sub, l.clock.wall(e.Deadline))
+		l.calls.remove(key)
+		l.cfg.Observer.SubResult(&reply.Result)
+		l.post(event.BackendAnswered{From: e.From, Result: reply.Result, Cold: reply.Cold, Load: reply.Load})
+	})
+}
+
+// pollBackend reads a server's status, which ends in BackendStatus.
+func (l *Loop) pollBackend(e effect.PollBackend) {
+	l.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+		defer cancel()
+		s, err := l.cfg.Backends.Status(ctx, e.Server, e.Address)
+		if err != nil {
+			l.post(event.BackendStatus{Server: e.Server, Err: err.Error()})
+			return
+		}
+		l.post(backendStatus(e.Server, &s))
+	})
+}
+
+// backendStatus translates a status. A server that names itself differently is
+// another one at a reused address.
+func backendStatus(asked model.ServerName, s *backend.Status) event.BackendStatus {
+	if s.Server != "" && s.Server != asked {
+		return event.BackendStatus{Server: asked, Err: "the address is used by server " + string(s.Server)}
+	}
+	out := event.BackendStatus{Server: asked, Draining: s.Draining, Cold: s.Cold, Load: s.Load}
+	for _, serving := range s.Serves {
+		out.Serves = append(out.Serves, serving.Serving)
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/runtime/loop.go
@@ -0,0 +1,269 @@
+// Package runtime drives the core reducer: one goroutine feeds it events and
+// carries out its effects against callers, peers, backend servers and the
+// platform. All clocks, random numbers and I/O of a daemon's control logic are
+// here.
+package runtime
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// Core is the reducer. The loop calls it from one goroutine.
+type Core interface {
+	// Step handles an event and returns what to do. The result is valid until
+	// the next call.
+	Step(event.Event) []effect.Effect
+	// NextWake is when the next Tick is due; model.Never if none.
+	NextWake() model.Time
+	// Header is the header of outgoing messages.
+	Header() model.Header
+}
+
+// StatusSource is implemented by cores that describe their state for readiness
+// checks and metrics.
+type StatusSource interface {
+	Status(now model.Time) model.DaemonStatus
+}
+
+// Recorder records steps. It is called from the loop's goroutine.
+type Recorder interface {
+	Record(event.Event, []effect.Effect)
+}
+
+const (
+	// DefaultQueue is the default capacity of the event queue. At 3 µs per
+	// event a full queue delays an event by about 12 ms.
+	DefaultQueue = 4096
+	// callerShare is the fraction of the queue that caller work may fill; the
+	// rest is for answers and control events.
+	callerShare = 0.75
+	// statusInterval is how often the loop reads the core's status.
+	statusInterval = 100 * time.Millisecond
+)
+
+// Config is what a Loop needs. Recorder and Observer may be nil.
+type Config struct {
+	Core     Core
+	Peers    Peers
+	Backends Backends
+	Platform Platform
+	// Decode checks and decodes a bundle or controls document. Epochs are
+	// decoded by the loop.
+	Decode func(kind event.DocumentKind, raw []byte) (event.Document, error)
+	// Region names the epoch object.
+	Region   string
+	Log      *LogWriter
+	Recorder Recorder
+	Observer Observer
+	// Queue is the capacity of the event queue; 0 means DefaultQueue.
+	Queue int
+}
+
+// Loop runs a Core. It implements peer.Handler and api.Frontend.
+type Loop struct {
+	cfg         Config
+	core        Core
+	clock       clock
+	events      chan event.Body
+	callerLimit int
+	probes      chan struct{}
+	header      atomic.Pointer[model.Header]
+	status      atomic.Pointer[model.DaemonStatus]
+	statusDue   model.Time
+	pending     pending
+	executes    cancels[event.StreamID]
+	calls       cancels[backendCall]
+	watches     cancels[event.DocumentKind]
+	streams     streams
+	// ctx ends when the loop does; it bounds everything the loop started.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	exit   *effect.Exit
+}
+
+// New returns a loop that has not started.
+func New(cfg Config) *Loop {
+	if cfg.Queue <= 0 {
+		cfg.Queue = DefaultQueue
+	}
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
+	l := &Loop{
+		cfg:         cfg,
+		core:        cfg.Core,
+		clock:       clock{start: time.Now()},
+		events:      make(chan event.Body, cfg.Queue),
+		probes:      make(chan struct{}),
+		callerLimit: max(1, int(float64(cfg.Queue)*callerShare)),
+	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.publish()
+	return l
+}
+
+// clock converts between model.Time and the process's monotonic clock.
+type clock struct{ start time.Time }
+
+func (c clock) now() model.Time { return model.Time(time.Since(c.start)) }
+
+func (c clock) wall(t model.Time) time.Time { return c.start.Add(time.Duration(t)) }
+
+// Run feeds events to the core until it emits effect.Exit or ctx ends. It
+// returns the reason of the exit after everything it started has ended.
+func (l *Loop) Run(ctx context.Context) (reason string, err error) {
+	defer l.tasks.Wait()
+	defer l.cancel()
+	wake := newWakeTimer(l.clock)
+	defer wake.stop()
+	l.step(event.Started{})
+	for l.exit == nil {
+		wake.set(l.core.NextWake())
+		select {
+		case <-ctx.Done():
+			return "", ctx.Err()
+		case body := <-l.events:
+			l.step(body)
+		case <-l.probes:
+		case <-wake.timer.C:
+			wake.fired()
+			l.step(event.Tick{})
+		}
+	}
+	l.log(logevent.RuntimeExit, logevent.Str("reason", l.exit.Reason))
+	return l.exit.Reason, nil
+}
+
+// Stop asks the core for a graceful shutdown.
+func (l *Loop) Stop(reason string) { l.post(event.StopRequested{Reason: reason}) }
+
+// Header returns the header of outgoing messages.
+func (l *Loop) Header() model.Header { return *l.header.Load() }
+
+// Status returns the core's recent status, and the number of events queued.
+func (l *Loop) Status() (model.DaemonStatus, int) { return *l.status.Load(), len(l.events) }
+
+// Alive reports whether the loop takes events before ctx ends.
+func (l *Loop) Alive(ctx context.Context) bool {
+	select {
+	case l.probes <- struct{}{}:
+		return true
+	case <-l.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// step runs one event through the core. The clock is read when the event is
+// handled, so that the core's times never go back.
+func (l *Loop) step(body event.Body) {
+	start := time.Now()
+	e := event.Event{Body: body}
+	e.Now = l.clock.now()
+	e.Wall = start.UnixMilli()
+	e.Rand = rand.Uint64()
+	effects := l.core.Step(e)
+	if l.cfg.Recorder != nil {
+		l.cfg.Recorder.Record(e, effects)
+	}
+	l.publish()
+	l.cfg.Observer.Step(body, time.Since(start), len(l.events))
+	for _, eff := range effects {
+		l.perform(eff)
+	}
+}
+
+// publish makes the core's header and status readable by other goroutines.
+func (l *Loop) publish() {
+	h := l.core.Header()
+	if old := l.header.Load(); old == nil || *old != h {
+		l.header.Store(&h)
+	}
+	now := l.clock.now()
+	if now < l.statusDue {
+		return
+	}
+	l.statusDue = now.Add(statusInterval)
+	var s model.DaemonStatus
+	if source, ok := l.core.(StatusSource); ok {
+		s = source.Status(now)
+	}
+	l.status.Store(&s)
+}
+
+// post queues a control event and waits for room. It must not be called from
+// the loop's goroutine. It returns false when the loop has ended.
+func (l *Loop) post(body event.Body) bool {
+	select {
+	case l.events <- body:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// offer queues new caller work, or returns false when the queue has no room
+// for it.
+func (l *Loop) offer(body event.Body) bool {
+	if len(l.events) >= l.callerLimit || l.ctx.Err() != nil {
+		return false
+	}
+	select {
+	case l.events <- body:
+		return true
+	default:
+		return false
+	}
+}
+
+// start runs f in a goroutine that ends with the loop.
+func (l *Loop) start(f func(context.Context)) {
+	l.tasks.Go(func() { f(l.ctx) })
+}
+
+func (l *Loop) log(id logevent.ID, fields ...logevent.Field) {
+	if l.cfg.Log != nil {
+		l.cfg.Log.Write(id, fields)
+	}
+}
+
+// wakeTimer is the timer for Tick. It is reset only when the time changes.
+type wakeTimer struct {
+	clock clock
+	timer *time.Timer
+	at    model.Time
+}
+
+func newWakeTimer(c clock) *wakeTimer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return &wakeTimer{clock: c, timer: t, at: model.Never}
+}
+
+// set arms the timer for at.
+func (w *wakeTimer) set(at model.Time) {
+	if at == w.at {
+		return
+	}
+	w.at = at
+	if at == model.Never {
+		w.timer.Stop()
+		return
+	}
+	w.timer.Reset(max(0, at.Sub(w.clock.now())))
+}
+
+// fired notes that the timer is no longer armed.
+func (w *wakeTimer) fired() { w.at = model.Never }
+
+func (w *wakeTimer) stop() { w.timer.Stop() }
--- /dev/null
+++ b/pkg/trace/trace.go
@@ -0,0 +1,160 @@
+// Package trace writes and reads the event stream of a daemon and replays it.
+// A trace is a gzip stream of gob values, one per step of the core. It holds
+// each event and a hash of its effects, so that a replay can tell whether the
+// core still does the same.
+package trace
+
+import (
+	"compress/gzip"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// ErrInvalid means that a trace cannot be read, for example because the
+// process that wrote it was killed.
+var ErrInvalid = errors.New("trace: invalid or cut off")
+
+// flushInterval bounds the events lost when the process is killed.
+const flushInterval = time.Second
+
+// Step is one recorded step of the core.
+type Step struct {
+	Event event.Event
+	// Effects is their number and Hash the value of Hash over them.
+	Effects int
+	Hash    uint64
+}
+
+func init() {
+	for _, body := range []event.Body{
+		event.QueryArrived{}, event.QueryAbandoned{}, event.LookupArrived{}, event.ForwardAnswered{},
+		event.ExecuteArrived{}, event.CancelArrived{}, event.ExecuteGone{}, event.SubResultArrived{}, event.ExecuteEnded{},
+		event.BackendAnswered{}, event.BackendStatus{},
+		event.HeartbeatArrived{}, event.HeartbeatAnswered{}, event.HeartbeatFailed{},
+		event.ExchangeArrived{}, event.ExchangeAnswered{}, event.HandoverArrived{}, event.HandoverAnswered{},
+		event.DocumentRequested{}, event.DocumentArrived{}, event.DocumentFailed{},
+		event.VMListRead{}, event.EpochWritten{}, event.DocumentConfirmed{},
+		event.Started{}, event.Tick{}, event.StopRequested{},
+	} {
+		gob.Register(body)
+	}
+}
+
+// Writer records steps. It implements runtime.Recorder and must be used from
+// one goroutine.
+type Writer struct {
+	zip     *gzip.Writer
+	gob     *gob.Encoder
+	flushed model.Time
+	err     error
+}
+
+// NewWriter returns a recorder that writes to w.
+func NewWriter(w io.Writer) *Writer {
+	zip := gzip.NewWriter(w)
+	return &Writer{zip: zip, gob: gob.NewEncoder(zip)}
+}
+
+// Record writes one step. After an error it does nothing more; Close returns
+// the error.
+func (w *Writer) Record(e event.Event, effects []effect.Effect) {
+	if w.err != nil {
+		return
+	}
+	w.err = w.gob.Encode(Step{Event: e, Effects: len(effects), Hash: Hash(effects)})
+	if w.err == nil && e.Now.Sub(w.flushed) >= flushInterval {
+		w.flushed = e.Now
+		w.err = w.zip.Flush()
+	}
+}
+
+// Err returns the first error of Record.
+func (w *Writer) Err() error { return w.err }
+
+// Close ends the trace. It does not close the underlying writer.
+func (w *Writer) Close() error {
+	err := errors.Join(w.err, w.zip.Close())
+	if err != nil {
+		return fmt.Errorf("trace: write: %w", err)
+	}
+	return nil
+}
+
+// Reader reads a trace.
+type Reader struct{ gob *gob.Decoder }
+
+// NewReader returns a reader of the trace in r. The error is ErrInvalid.
+func NewReader(r io.Reader) (*Reader, error) {
+	zip, err := gzip.NewReader(r)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return &Reader{gob: gob.NewDecoder(zip)}, nil
+}
+
+// Next returns the next step, io.EOF at the end of a whole trace, or
+// ErrInvalid.
+func (r *Reader) Next() (Step, error) {
+	var s Step
+	err := r.gob.Decode(&s)
+	if err == io.EOF {
+		return Step{}, err
+	}
+	if err != nil {
+		return Step{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	restore(s.Event.Body)
+	return s, nil
+}
+
+// restore builds the tables that gob does not write.
+func restore(body event.Body) {
+	if d, ok := body.(event.DocumentArrived); ok && d.Document.Bundle != nil {
+		d.Document.Bundle.Index()
+	}
+}
+
+// Core is the part of the reducer that a replay needs.
+type Core interface {
+	Step(event.Event) []effect.Effect
+}
+
+// MismatchError says at which step a replay gave other effects.
+type MismatchError struct {
+	// Step counts from 0.
+	Step int
+	Body event.Body
+	// Want is the recorded number of effects; Got are those of the replay.
+	Want int
+	Got  []effect.Effect
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("trace: step %d, %T: recorded %d effects, replay gave %d different ones", e.Step, e.Body, e.Want, len(e.Got))
+}
+
+// Replay feeds a trace to a new core and compares the effects of each step. It
+// returns the number of equal steps, and a *MismatchError or ErrInvalid.
+func Replay(core Core, r *Reader) (int, error) {
+	for n := 0; ; n++ {
+		s, err := r.Next()
+		if err == io.EOF {
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+		got := core.Step(s.Event)
+		if len(got) != s.Effects || Hash(got) != s.Hash {
+			return n, &MismatchError{Step: n, Body: s.Event.Body, Want: s.Effects, Got: got}
+		}
+	}
+}
