--- /dev/null
+++ b/standin/backend/listener.go
@@ -0,0 +1,66 @@
+package backend
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Listener wraps l with the server's connection limit and set-up cost.
+func (s *Server) Listener(l net.Listener) net.Listener { return &listener{Listener: l, server: s} }
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept returns the next connection within the limit and closes those over it.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.openConn() {
+			return &conn{Conn: c, server: l.server}, nil
+		}
+		// The client sees the close; an error of it changes nothing.
+		_ = c.Close()
+	}
+}
+
+func (s *Server) openConn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns >= s.cfg.Connections {
+		s.counts.ConnectionsRefused++
+		return false
+	}
+	s.conns++
+	s.counts.Connections++
+	return true
+}
+
+func (s *Server) closeConn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns--
+}
+
+// conn delays its first read by the set-up cost.
+type conn struct {
+	net.Conn
+	server *Server
+	setUp  sync.Once
+	closed sync.Once
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.setUp.Do(func() { time.Sleep(c.server.cfg.ConnectCost) })
+	return c.Conn.Read(b)
+}
+
+func (c *conn) Close() error {
+	c.closed.Do(c.server.closeConn)
+	return c.Conn.Close()
+}
