Add slots: queue, slots, ramp and drain gate of an owner

A leaf has 2 to 6 slots, so one owner has to hold its queue and limit.

The slot of a canceled or broken call is kept for 5 ms, because the server notices a closed connection later than the owner; without this TestInvariantSlotsNeverExceeded sees more calls than slots.

--- /dev/null
+++ b/pkg/core/slots/answer.go
@@ -0,0 +1,198 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+const (
+	// goneHold is how long a version that a server refused stays out of its
+	// reports although its lagging status lists it.
+	goneHold = 10 * time.Second
+	// promptPollGap is the least time between two status reads.
+	promptPollGap = 200 * time.Millisecond
+)
+
+// BackendAnswered ends a call: it frees the slot, learns from the answer and
+// passes the result on.
+func (s *State) BackendAnswered(m event.Meta, e event.BackendAnswered, out *effect.List) {
+	t, ok := s.tasks[attemptKey{e.From, e.Result.Attempt}]
+	if !ok || t.state != taskRunning {
+		out.Log(logevent.SlotsUnknownAnswer, logevent.Str("from", e.From.VM), logevent.Int("attempt", e.Result.Attempt))
+		return
+	}
+	v := t.server
+	s.freeSlot(m, v, e.Result.Outcome)
+	s.learn(m, t, e, out)
+	r := e.Result
+	r.QueueTime = t.sent.Sub(t.arrived)
+	if r.ServiceTime == 0 {
+		r.ServiceTime = m.Now.Sub(t.sent)
+	}
+	s.finish(t, r, out)
+	s.pump(m, v, out)
+}
+
+// freeSlot gives the slot back, later if the call was cut off: the server may
+// not have noticed yet.
+func (s *State) freeSlot(m event.Meta, v *server, outcome model.Outcome) {
+	v.running--
+	switch outcome {
+	case model.OutcomeCanceled, model.OutcomeTimeout, model.OutcomeFailed, model.OutcomeLost, model.OutcomeUnknown:
+		v.settling++
+		s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v})
+	}
+}
+
+// settleSlots frees the slots of cut-off calls whose time has come.
+func (s *State) settleSlots(m event.Meta, out *effect.List) {
+	n := 0
+	for ; n < len(s.settling) && s.settling[n].at <= m.Now; n++ {
+		v := s.settling[n].server
+		v.settling--
+		s.pump(m, v, out)
+	}
+	s.settling = slices.Delete(s.settling, 0, n)
+}
+
+// learn updates what is known of the server from the answer to a call.
+func (s *State) learn(m event.Meta, t *task, e event.BackendAnswered, out *effect.List) {
+	v := t.server
+	took := e.Result.ServiceTime
+	if took == 0 {
+		took = m.Now.Sub(t.sent)
+	}
+	switch e.Result.Outcome {
+	case model.OutcomeOK:
+		s.learnGood(m, v, took, e.Cold, out)
+	case model.OutcomeShed:
+		s.learnShed(m, v, e.Cold, out)
+	case model.OutcomeDrained:
+		s.learnAnswer(m, v, e.Cold, out)
+		if v.gate.refusedWork(m.Now) {
+			s.closeGate(m, v, "server", out)
+		}
+	case model.OutcomeVersionGone:
+		s.learnAnswer(m, v, e.Cold, out)
+		s.versionGone(m, t, out)
+	case model.OutcomeCanceled:
+		s.learnLatency(v, took, true, out)
+	case model.OutcomeTimeout:
+		v.adaptive.decrease()
+		s.learnLatency(v, took, true, out)
+	case model.OutcomeExpired:
+		// The deadline passed before the call began; it says nothing of the server.
+	default:
+		s.learnFailure(v, e.Cold, out)
+	}
+}
+
+// learnAnswer notes any answer of the server itself. The server's word that it
+// is cold restarts the ramp when it is new.
+func (s *State) learnAnswer(m event.Meta, v *server, cold bool, out *effect.List) {
+	v.lastAnswer, v.known = m.Now, true
+	if cold && !v.cold {
+		s.restartRamp(v, "cold", out)
+	}
+	v.cold = cold
+}
+
+func (s *State) learnGood(m event.Meta, v *server, took time.Duration, cold bool, out *effect.List) {
+	s.learnAnswer(m, v, cold, out)
+	v.gate.hold = 0
+	s.clearFailures(v, out)
+	if s.learnLatency(v, took, false, out) {
+		return
+	}
+	v.adaptive.answered(v.def.Slots)
+	if v.ramp.answered(v.def) {
+		logRamp(logevent.SlotsRampRaised, v, "answers", out)
+		s.updateReport(v)
+	}
+}
+
+// learnLatency reports whether the service time showed a slow server.
+func (s *State) learnLatency(v *server, took time.Duration, partial bool, out *effect.List) bool {
+	if !v.latency.observe(took, partial) {
+		return false
+	}
+	v.adaptive.decrease()
+	s.restartRamp(v, "slow", out)
+	return true
+}
+
+func (s *State) learnShed(m event.Meta, v *server, cold bool, out *effect.List) {
+	v.shed++
+	s.learnAnswer(m, v, cold, out)
+	v.adaptive.decrease()
+	if v.ramp.shed() {
+		logRamp(logevent.SlotsRampLowered, v, "shed", out)
+		s.updateReport(v)
+	}
+}
+
+// learnFailure restarts the ramp: a server that fails calls has fallen over
+// under its load or was restarted, and comes back cold in both cases.
+func (s *State) learnFailure(v *server, cold bool, out *effect.List) {
+	v.cold = cold
+	v.adaptive.decrease()
+	s.restartRamp(v, "failure", out)
+	s.addFailure(v, out)
+}
+
+// restartRamp takes the server to be cold.
+func (s *State) restartRamp(v *server, reason string, out *effect.List) {
+	if v.ramp.restart(v.def) {
+		logRamp(logevent.SlotsRampStarted, v, reason, out)
+		s.updateReport(v)
+	}
+}
+
+func logRamp(id logevent.ID, v *server, reason string, out *effect.List) {
+	out.Log(id, logevent.Str("server", v.name), logevent.Str("reason", reason), logevent.Int("limit", v.ramp.limit))
+}
+
+func (s *State) addFailure(v *server, out *effect.List) {
+	v.failures++
+	if v.failures == unusableFailures {
+		out.Log(logevent.SlotsUnusable, logevent.Str("server", v.name), logevent.Int("failures", v.failures))
+		s.updateReport(v)
+	}
+}
+
+func (s *State) clearFailures(v *server, out *effect.List) {
+	failures := v.failures
+	v.failures = 0
+	if failures >= unusableFailures {
+		out.Log(logevent.SlotsUsable, logevent.Str("server", v.name))
+		s.updateReport(v)
+	}
+}
+
+// versionGone takes a refused version out of the reports and reads the
+// server's status soon.
+func (s *State) versionGone(m event.Meta, t *task, out *effect.List) {
+	v := t.server
+	g := goneVersion{layout: t.sub.Snapshot.Layout, shard: t.sub.Shard, version: t.sub.Snapshot.IndexVersion, until: m.Now.Add(goneHold)}
+	i := slices.IndexFunc(v.gone, g.same)
+	if i >= 0 {
+		v.gone[i].until = g.until
+		return
+	}
+	v.gone = append(v.gone, g)
+	out.Log(logevent.SlotsVersionGone, logevent.Str("server", v.name), logevent.Str("layout", g.layout),
+		logevent.Str("shard", g.shard), logevent.Int("version", g.version))
+	s.setServes(m, v, v.serves)
+	if v.owned && m.Now >= v.poll.sentAt.Add(promptPollGap) {
+		s.sendPoll(m, v, out)
+	}
+}
+
+func (g goneVersion) same(h goneVersion) bool {
+	return g.layout == h.layout && g.shard == h.shard && g.version == h.version
+}
--- a/pkg/logevent/slots.go
+++ b/pkg/logevent/slots.go
@@ -1,4 +1,40 @@
 package logevent
 
+import "github.com/apex/log"
+
 // Log events 1100 to 1199, of the component slots.
-var slotsEvents = []Def{}
+const (
+	SlotsGained ID = 1100 + iota
+	SlotsLost
+	SlotsClosed
+	SlotsReopened
+	SlotsRampStarted
+	SlotsRampRaised
+	SlotsRampLowered
+	SlotsRefused
+	SlotsShed
+	SlotsUnusable
+	SlotsUsable
+	SlotsPollFailed
+	SlotsVersionGone
+	SlotsDuplicateAttempt
+	SlotsUnknownAnswer
+)
+
+var slotsEvents = []Def{
+	{SlotsGained, "slots.gained", log.InfoLevel, "This daemon now owns the backend server; limit is what it runs at once at first."},
+	{SlotsLost, "slots.lost", log.InfoLevel, "This daemon no longer owns the backend server; queued work was refused, running work goes on."},
+	{SlotsClosed, "slots.closed", log.InfoLevel, "The backend server gets no new work because of a take-out or drain by an operator, or because it drains itself."},
+	{SlotsReopened, "slots.reopened", log.InfoLevel, "The backend server gets work again."},
+	{SlotsRampStarted, "slots.ramp_started", log.InfoLevel, "The backend server is taken to be cold; its limit restarts at cold.slots."},
+	{SlotsRampRaised, "slots.ramp_raised", log.InfoLevel, "Good answers raised the backend server's limit by one."},
+	{SlotsRampLowered, "slots.ramp_lowered", log.WarnLevel, "The backend server shed a request; its limit was halved."},
+	{SlotsRefused, "slots.refused", log.WarnLevel, "Sub-requests for the backend server were refused before they were sent; count is since the last such line."},
+	{SlotsShed, "slots.shed", log.WarnLevel, "The backend server shed sub-requests; count is since the last such line."},
+	{SlotsUnusable, "slots.unusable", log.WarnLevel, "The backend server failed several times in a row and is reported as unusable."},
+	{SlotsUsable, "slots.usable", log.InfoLevel, "The backend server answers again and is reported as usable."},
+	{SlotsPollFailed, "slots.poll_failed", log.WarnLevel, "The backend server's status could not be read."},
+	{SlotsVersionGone, "slots.version_gone", log.InfoLevel, "The backend server no longer has an index version that it was reported to have."},
+	{SlotsDuplicateAttempt, "slots.duplicate_attempt", log.WarnLevel, "An entry daemon sent an attempt that is already here; it was not run again."},
+	{SlotsUnknownAnswer, "slots.unknown_answer", log.WarnLevel, "A backend answer belongs to no running attempt and was dropped."},
+}
