--- /dev/null
+++ b/pkg/core/callers_test.go
@@ -0,0 +1,173 @@
+package core_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// caller follows the caller protocol: it asks for addresses, keeps them for
+// their age, and tries the next one when a connection is refused.
+type caller struct {
+	w         *world
+	addresses []effect.LookupAddress
+	until     time.Duration
+	serial    int
+}
+
+// refresh asks some live daemon for addresses when the kept ones are too old.
+func (c *caller) refresh() {
+	w := c.w
+	if w.now < c.until || len(w.nodes) == 0 {
+		return
+	}
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if n.dead || n.paused {
+		return
+	}
+	asked := w.now
+	t := n.expect(func(r any) {
+		l := r.(effect.ReplyLookup)
+		if l.Refusal == nil {
+			c.addresses, c.until = l.Addresses, asked+l.MaxAge
+		}
+	})
+	n.post(event.LookupArrived{Token: t, Service: "search", Caller: "counter"})
+}
+
+// query sends one request to the preferred address, and returns it.
+func (c *caller) query(idempotent bool, key string, deadline time.Duration) (model.Request, bool) {
+	c.refresh()
+	if len(c.addresses) == 0 || c.w.now >= c.until {
+		return model.Request{}, false
+	}
+	c.serial++
+	a := c.addresses[0]
+	req := model.Request{
+		ID:      model.RequestID(fmt.Sprintf("%s.%d", a.RequestIDPrefix, c.serial)),
+		Service: "search", Caller: "counter", Class: model.Class(c.w.rng.IntN(int(model.NumClasses))),
+		Idempotent: idempotent, Query: "q", Key: key, TopK: 100,
+	}
+	c.send(req, c.addresses, deadline)
+	return req, true
+}
+
+// send tries the addresses in order until one takes the connection.
+func (c *caller) send(req model.Request, addresses []effect.LookupAddress, deadline time.Duration) {
+	if len(addresses) == 0 {
+		return
+	}
+	w := c.w
+	n := w.byVM[addresses[0].VM]
+	if n == nil || n.dead {
+		if n != nil && n.exited && w.now < c.until {
+			w.oracle.failf("graceful stop: %s is gone while a lookup answer still names it", n.vm)
+		}
+		c.send(req, addresses[1:], deadline)
+		return
+	}
+	sent := w.now
+	req.Deadline = n.clock().Add(deadline)
+	replied := false
+	t := n.expect(func(r any) {
+		if replied {
+			w.oracle.failf("own answer: %s was answered twice", req.ID)
+		}
+		replied = true
+		w.oracle.answered(n, req, r.(effect.ReplyQuery), sent)
+	})
+	n.post(event.QueryArrived{Token: t, Request: req})
+	paused := n.paused
+	w.at(deadline+300*time.Millisecond, func() {
+		if !replied && !n.dead && !n.paused && !paused && n.clock() >= req.Deadline+model.Time(300*time.Millisecond) && !n.wasPaused(sent) {
+			w.oracle.failf("own answer: %s got no reply from %s by its deadline", req.ID, n.vm)
+		}
+	})
+}
+
+// testBundle is one service of two shards with two replicas each, spread over
+// three failure domains, and a second layout of three shards.
+func testBundle(version uint64, layouts int) *model.Bundle {
+	domains := []model.FailureDomain{"a", "b", "c"}
+	b := &model.Bundle{Version: version}
+	var names []model.ServerName
+	for i := range 6 {
+		name := model.ServerName(fmt.Sprintf("s%d", i))
+		names = append(names, name)
+		b.Servers = append(b.Servers, model.BackendServer{
+			Name: name, FailureDomain: domains[i%3], Address: string(name), Slots: 3, Connections: 30,
+			ConnectCost: 6 * time.Millisecond, Cold: model.ColdStart{Slots: 1, Requests: 10},
+		})
+	}
+	first := model.Layout{Name: "l1", Shards: []model.Shard{
+		{Name: "p0", To: "m", Replicas: []model.ServerName{names[0], names[1]}},
+		{Name: "p1", From: "m", Replicas: []model.ServerName{names[2], names[4]}},
+	}}
+	second := model.Layout{Name: "l2", Shards: []model.Shard{
+		{Name: "q0", To: "h", Replicas: []model.ServerName{names[0], names[4]}},
+		{Name: "q1", From: "h", To: "r", Replicas: []model.ServerName{names[1], names[5]}},
+		{Name: "q2", From: "r", Replicas: []model.ServerName{names[2], names[3]}},
+	}}
+	svc := model.Service{
+		Name: "search",
+		Policy: model.Policy{
+			Mode: model.CoverageFirst, Routing: model.RoutingOwned, Target: 58 * time.Millisecond,
+			MaxDeadline: time.Second, HedgePercentile: 95, HedgeBudget: 0.05, RetryBudget: 0.1,
+			QueueLimit: 64, MaxInFlight: 256,
+		},
+		Callers: []model.Caller{{Name: "counter", Share: 1}},
+		Layouts: []model.Layout{first, second}[:layouts],
+	}
+	b.Services = []model.Service{svc}
+	b.Index()
+	return b
+}
+
+// vmNames and vmDomains are the entry VMs of the tests.
+var (
+	vmNames   = []model.VM{"e0", "e1", "e2", "e3", "e4"}
+	vmDomains = []model.FailureDomain{"a", "b", "c", "a", "b"}
+)
+
+// startFleet boots all daemons and waits until they serve.
+func startFleet(w *world) {
+	for i, vm := range vmNames {
+		w.start(vm, vmDomains[i])
+	}
+	for range 60 {
+		w.run(100 * time.Millisecond)
+	}
+	w.oracle.lastComplete = w.now
+}
+
+// run advances time in small steps and samples what the panel knows.
+func (w *world) run(d time.Duration) {
+	for d > 0 {
+		step := min(d, 100*time.Millisecond)
+		w.advance(step)
+		w.oracle.sampleAcceptance()
+		d -= step
+	}
+}
+
+// settled heals every fault and waits until the fleet should serve again.
+func (w *world) heal() {
+	w.cuts = map[[2]model.VM]bool{}
+	w.lossPct = 0
+	w.platform.down, w.platform.stale, w.platform.loseReply = false, false, false
+	for _, b := range w.sortedBackends() {
+		b.frozen = false
+	}
+	for i, vm := range vmNames {
+		n := w.byVM[vm]
+		switch {
+		case n == nil || n.dead:
+			w.start(vm, vmDomains[i])
+		case n.paused:
+			n.resume()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/loadgen/loadgen.go
@@ -0,0 +1,255 @@
+// Package loadgen sends a bounded open-loop load: requests start at a fixed
+// rate whether or not earlier ones have ended, so that queueing shows in the
+// tail of the latencies.
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Limits of a load, so that a mistyped flag cannot overload a machine.
+const (
+	MaxRate     = 20000
+	MaxDuration = 10 * time.Minute
+	MaxRequests = 2_000_000
+)
+
+// ErrOptions is wrapped by every error about Options.
+var ErrOptions = errors.New("loadgen: bad options")
+
+// Outcome is how one request ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Complete Outcome = iota
+	Partial
+	NotRun
+	MayHaveRun
+	Invalid
+	Failed
+	numOutcomes
+)
+
+var outcomeNames = [numOutcomes]string{"complete", "partial", "not_run", "may_have_run", "invalid", "failed"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is what one request brought.
+type Result struct {
+	Outcome  Outcome
+	Asked    int
+	Answered int
+	// Attempts counts the sub-requests sent for the request.
+	Attempts int
+	// Wrong says how an answer differs from what was expected; empty if it
+	// does not.
+	Wrong string
+}
+
+// Target runs the i-th request of a load.
+type Target interface {
+	Do(ctx context.Context, i int) Result
+}
+
+// Options describe a load.
+type Options struct {
+	// Rate is in requests per second.
+	Rate     float64
+	Duration time.Duration
+	// Timeout bounds each request.
+	Timeout time.Duration
+	// MaxInFlight bounds the requests that run at once; a request that would
+	// exceed it counts as Failed.
+	MaxInFlight int
+	// Progress receives a line a second if not nil.
+	Progress io.Writer
+}
+
+func (o Options) check() error {
+	switch {
+	case o.Rate <= 0 || o.Rate > MaxRate:
+		return fmt.Errorf("%w: rate %g is not in 0..%d requests/s", ErrOptions, o.Rate, MaxRate)
+	case o.Duration <= 0 || o.Duration > MaxDuration:
+		return fmt.Errorf("%w: duration %v is not in 0..%v", ErrOptions, o.Duration, MaxDuration)
+	case o.Rate*o.Duration.Seconds() > MaxRequests:
+		return fmt.Errorf("%w: more than %d requests", ErrOptions, MaxRequests)
+	case o.Timeout <= 0:
+		return fmt.Errorf("%w: timeout %v is not positive", ErrOptions, o.Timeout)
+	case o.MaxInFlight <= 0:
+		return fmt.Errorf("%w: max in flight %d is not positive", ErrOptions, o.MaxInFlight)
+	}
+	return nil
+}
+
+// Report sums a load up.
+type Report struct {
+	Requests int
+	Elapsed  time.Duration
+	Outcomes [numOutcomes]int
+	Asked    int
+	Answered int
+	Attempts int
+	Wrong    []string
+	// latencies are in microseconds, from the planned start of a request.
+	latencies *hdrhistogram.Histogram
+}
+
+// Percentile returns the latency of the given percentile, 0 to 100, over the
+// requests that got an answer.
+func (r *Report) Percentile(p float64) time.Duration {
+	return time.Duration(r.latencies.ValueAtPercentile(p)) * time.Microsecond
+}
+
+// Count returns the number of requests that ended with an outcome.
+func (r *Report) Count(o Outcome) int { return r.Outcomes[o] }
+
+// Coverage returns the answered part of the shards asked, 0 to 1.
+func (r *Report) Coverage() float64 {
+	if r.Asked == 0 {
+		return 0
+	}
+	return float64(r.Answered) / float64(r.Asked)
+}
+
+// ExtraLoad returns the sub-requests beyond one per shard as a fraction.
+func (r *Report) ExtraLoad() float64 {
+	if r.Asked == 0 {
+		return 0
+	}
+	return max(0, float64(r.Attempts)/float64(r.Asked)-1)
+}
+
+// Goodput returns the complete answers per second.
+func (r *Report) Goodput() float64 {
+	return float64(r.Outcomes[Complete]) / r.Elapsed.Seconds()
+}
+
+// maxWrong bounds the wrong answers that a report keeps.
+const maxWrong = 10
+
+// run is a load in progress.
+type run struct {
+	opts   Options
+	mu     sync.Mutex
+	report *Report
+	active int
+}
+
+// Run sends the load and waits for all its requests to end. It returns an
+// error that wraps ErrOptions for bad options.
+func Run(ctx context.Context, t Target, opts Options) (*Report, error) {
+	if err := opts.check(); err != nil {
+		return nil, err
+	}
+	r := &run{opts: opts, report: &Report{latencies: hdrhistogram.New(1, time.Hour.Microseconds(), 3)}}
+	stopProgress := r.startProgress()
+	start := time.Now()
+	var wg sync.WaitGroup
+	total := int(opts.Rate * opts.Duration.Seconds())
+	for i := range total {
+		planned := start.Add(time.Duration(float64(i) / opts.Rate * float64(time.Second)))
+		if !sleepUntil(ctx, planned) {
+			break
+		}
+		if !r.begin() {
+			continue
+		}
+		wg.Go(func() { r.one(ctx, t, i, planned) })
+	}
+	wg.Wait()
+	stopProgress()
+	r.report.Elapsed = time.Since(start)
+	return r.report, nil
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// begin counts a request in; it reports false when too many run already.
+func (r *run) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Requests++
+	if r.active >= r.opts.MaxInFlight {
+		r.report.Outcomes[Failed]++
+		return false
+	}
+	r.active++
+	return true
+}
+
+func (r *run) one(ctx context.Context, t Target, i int, planned time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.Timeout)
+	defer cancel()
+	res := t.Do(ctx, i)
+	took := time.Since(planned)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active--
+	rep := r.report
+	rep.Outcomes[res.Outcome]++
+	if res.Outcome == Complete || res.Outcome == Partial {
+		rep.Asked += res.Asked
+		rep.Answered += res.Answered
+		rep.Attempts += res.Attempts
+		_ = rep.latencies.RecordValue(max(1, took.Microseconds()))
+	}
+	if res.Wrong != "" && len(rep.Wrong) < maxWrong {
+		rep.Wrong = append(rep.Wrong, res.Wrong)
+	}
+}
+
+// startProgress prints a line a second until the returned function is called.
+func (r *run) startProgress() func() {
+	if r.opts.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				r.printProgress()
+			case <-done:
+				return
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (r *run) printProgress() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep := r.report
+	fmt.Fprintf(r.opts.Progress, "sent %d, running %d, complete %d, partial %d, refused %d, p99 %v\n",
+		rep.Requests, r.active, rep.Outcomes[Complete], rep.Outcomes[Partial],
+		rep.Outcomes[NotRun]+rep.Outcomes[MayHaveRun], rep.Percentile(99))
+}
