--- a/pkg/core/query/harness_test.go
+++ b/pkg/core/query/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -90,12 +91,28 @@
 // versions sets what the reports say of a shard's replicas.
 func (v *fakeView) versions(server model.ServerName, versions ...uint64) {
 	r := v.reports[server]
-	serving := r.Serves[0]
-	serving.Versions = versions
-	r.Serves = []model.Serving{serving}
+	r.Serves = slices.Clone(r.Serves)
+	r.Serves[0].Versions = versions
 	v.reports[server] = r
 }
 
+// repartition adds a later layout of 2 shards, served in version 5 when ready.
+func (v *fakeView) repartition(ready bool) {
+	layout := model.Layout{Name: "l2"}
+	for i, servers := range [][]model.ServerName{{"s00a", "s01a"}, {"s02b", "s03b"}} {
+		name := model.ShardName(fmt.Sprintf("new%d", i))
+		layout.Shards = append(layout.Shards, model.Shard{Name: name, Replicas: servers})
+		for _, s := range servers {
+			if r := v.reports[s]; ready {
+				r.Serves = append(r.Serves, model.Serving{Layout: "l2", Shard: name, Versions: []uint64{5}})
+				v.reports[s] = r
+			}
+		}
+	}
+	svc := &v.bundle.Services[0]
+	svc.Layouts = append(svc.Layouts, layout)
+}
+
 // harness drives a State and sorts its effects.
 type harness struct {
 	t     testing.TB
--- a/pkg/core/query/lookup.go
+++ b/pkg/core/query/lookup.go
@@ -87,7 +87,12 @@
 func (s *State) lookupPeers(c *step, caller model.CallerName) []model.MemberReport {
 	hash := xxhash.Sum64String(string(caller))
 	var peers []model.MemberReport
+	self := s.view.Self()
+	admits, _ := s.view.Admits(c.Meta)
 	for _, p := range s.view.Peers() {
+		if p.MemberRef == self && !admits {
+			continue
+		}
 		if p.Serving && !p.Leaving && !s.view.Controls().DomainOut(p.FailureDomain, c.Wall) {
 			peers = append(peers, p)
 		}
--- a/pkg/core/query/merge.go
+++ b/pkg/core/query/merge.go
@@ -14,7 +14,10 @@
 
 // before orders items by falling score, then by id.
 func before(a, b *model.Item) int {
-	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	if c := cmp.Compare(b.Score, a.Score); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
 }
 
 // mergeHeap holds the rest of each shard's sorted items, the best first.
--- /dev/null
+++ b/pkg/core/query/policy_test.go
@@ -0,0 +1,267 @@
+package query
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// warm runs queries until a latency estimate of 10 ms is known.
+func (h *harness) warm(queries int) {
+	for i := range queries {
+		h.query(fmt.Sprintf("warm%d", i), nil)
+		subs := h.subs()
+		h.advance(10 * ms)
+		for _, x := range subs {
+			h.post(x.result(model.OutcomeOK))
+		}
+	}
+}
+
+// Guards against more hedges than the budget and against a loser that is not
+// canceled.
+func TestHedgeBudget(t *testing.T) {
+	h := newHarness(t, 10)
+	h.v.policy().HedgePercentile = 50
+	h.warm(20)
+	tok := h.query("slow", nil)
+	subs := h.subs()
+	for _, x := range subs[1:] {
+		h.post(x.result(model.OutcomeOK))
+	}
+	h.advance(12 * ms)
+	hedges := h.subs()
+	if len(hedges) != 1 || hedges[0].sub.Server == subs[0].sub.Server || hedges[0].sub.Shard != subs[0].sub.Shard {
+		t.Fatalf("hedges %+v", hedges)
+	}
+	h.post(hedges[0].result(model.OutcomeOK))
+	if !h.answer(tok).Complete {
+		t.Error("hedge did not complete the answer")
+	}
+	cancel := slices.IndexFunc(h.out.Effects, func(e effect.Effect) bool {
+		c, ok := e.(effect.SendCancel)
+		return ok && c.Attempts[0] == subs[0].sub.Attempt
+	})
+	if cancel < 0 {
+		t.Error("losing attempt was not canceled")
+	}
+	for i := range 100 {
+		h.query(fmt.Sprint("stuck", i), nil)
+		subs := h.subs()
+		h.advance(10 * ms)
+		for _, x := range subs[4:] {
+			h.post(x.result(model.OutcomeOK))
+		}
+		h.advance(time.Second)
+		h.subs()
+	}
+	c := h.s.Counts()
+	if limit := uint64(0.05 * float64(c.First)); c.Hedges > limit || c.Hedges < limit/2 {
+		t.Errorf("%d hedges of %d first attempts", c.Hedges, c.First)
+	}
+	h.freed()
+}
+
+// Guards against hedging what must not run twice, and direct routing.
+func TestNoHedge(t *testing.T) {
+	h := newHarness(t, 2)
+	h.warm(60)
+	h.query(h.id(1), once)
+	h.advance(time.Second)
+	h.v.policy().Routing = model.RoutingDirect
+	h.query("direct", nil)
+	if o := h.opened[len(h.opened)-1]; o.Peer != self.VM || len(o.Subs) != 2 {
+		t.Errorf("direct routing opened %+v", o)
+	}
+	h.advance(time.Second)
+	if h.s.Counts().Hedges != 0 {
+		t.Errorf("%d hedges", h.s.Counts().Hedges)
+	}
+}
+
+// Guards against a retry storm when every server fails or sheds.
+func TestRetryBudget(t *testing.T) {
+	for _, o := range []model.Outcome{model.OutcomeFailed, model.OutcomeShed, model.OutcomeQueueFull} {
+		h := newHarness(t, 10)
+		for i := range 50 {
+			tok := h.query(fmt.Sprint(i), nil)
+			for h.replies[tok].Token == 0 {
+				for _, x := range h.subs() {
+					h.post(x.result(o))
+				}
+				h.advance(25 * ms)
+			}
+		}
+		c := h.s.Counts()
+		if limit := uint64(0.1*float64(c.First)) + retryBurst; c.Retries > limit || c.Retries < limit/2 {
+			t.Errorf("%v: %d retries of %d first attempts", o, c.Retries, c.First)
+		}
+		h.freed()
+	}
+}
+
+// Guards against a tail_first answer after its target, and against one that
+// claims what it lacks.
+func TestTailFirst(t *testing.T) {
+	h := newHarness(t, 2)
+	h.v.policy().Mode, h.v.policy().Target = model.TailFirst, 60*ms
+	tok := h.query("a", nil)
+	subs := h.subs()
+	h.post(subs[0].result(model.OutcomeOK))
+	h.advance(60*ms - 1)
+	if len(h.replies) != 0 {
+		t.Fatal("answered before the target")
+	}
+	h.advance(1)
+	if a := h.answer(tok); a.Answered != 1 || a.Missing[0].Reason != model.MissingDeadline {
+		t.Errorf("answer %+v", a)
+	}
+	if _, ok := h.out.Effects[len(h.out.Effects)-1].(effect.CloseExecute); !ok {
+		t.Error("the straggler's stream was not closed")
+	}
+	h.freed()
+}
+
+// Guards against sending to drained or unusable servers and against giving up
+// on an owner that is succeeded in time.
+func TestReplicaChoice(t *testing.T) {
+	h := newHarness(t, 4)
+	h.v.controls.Drains = []model.Drain{{Server: "s00a"}, {Server: "s03a"}, {Server: "s03b"}}
+	down := h.v.reports["s01a"]
+	down.Usable = false
+	h.v.reports["s01a"] = down
+	busy := h.v.reports["s02a"]
+	busy.Load = 8
+	h.v.reports["s02a"] = busy
+	owner := h.v.owners["s00b"]
+	delete(h.v.owners, "s00b")
+	tok := h.query("a", nil)
+	for _, x := range h.subs() {
+		if want := model.ServerName("s" + string(x.sub.Shard[2:]) + "b"); x.sub.Server != want {
+			t.Errorf("sent to %s, want %s", x.sub.Server, want)
+		}
+		h.post(x.result(model.OutcomeOK))
+	}
+	h.advance(60 * ms)
+	h.v.owners["s00b"] = owner
+	h.advance(resolveDelay)
+	h.post(h.subs()[0].result(model.OutcomeOK))
+	a := h.answer(tok)
+	if a.Answered != 3 || a.Missing[0] != (model.MissingShard{Shard: "sh03", Reason: model.MissingDrained}) {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Guards against pinning a snapshot that is only partly served.
+func TestSnapshotChoice(t *testing.T) {
+	h := newHarness(t, 3)
+	svc := &h.v.bundle.Services[0]
+	pinned := func(key string) string {
+		p, known := h.s.choosePin(&step{Meta: h.meta, out: &h.out}, &pinRequest{bundle: h.v.bundle, service: svc, key: key})
+		return fmt.Sprintf("%s %d %v", p.snapshot.Layout, p.snapshot.IndexVersion, known)
+	}
+	expect := func(key, want string) {
+		t.Helper()
+		if got := pinned(key); got != want {
+			t.Errorf("pinned %s, want %s", got, want)
+		}
+	}
+	h.v.versions("s00a", 5, 6)
+	h.v.versions("s01b", 4, 5, 6)
+	expect("", "l1 5 true")
+	h.v.versions("s02a", 6)
+	expect("", "l1 6 true")
+	h.v.versions("s02a", 4)
+	h.v.versions("s02b", 4)
+	expect("", "l1 4 true")
+	h.v.versions("s00b", 5)
+	expect("", "l1 6 true")
+	expect("02x", "l1 4 true")
+	clear(h.v.reports)
+	expect("", "l1 0 false")
+	h.refusal(h.query("a", nil), model.NotRun)
+}
+
+// Guards against limits that a caller can exceed and shares that it loses.
+func TestAdmission(t *testing.T) {
+	h := newHarness(t, 1)
+	h.v.policy().MaxInFlight = 8
+	as := func(c model.CallerName) func(*event.QueryArrived) {
+		return func(e *event.QueryArrived) { e.Request.Caller = c }
+	}
+	admitted := func(c model.CallerName) bool {
+		_, refused := h.replies[h.query("x", as(c))]
+		return !refused
+	}
+	for i := range 6 {
+		if !admitted("batch") {
+			t.Fatalf("query %d of 6 refused", i)
+		}
+	}
+	if admitted("batch") || !admitted("bench") || !admitted("bench") || admitted("bench") {
+		t.Error("caller shares are not kept")
+	}
+	for tok := range h.s.runs {
+		h.s.QueryAbandoned(h.meta, event.QueryAbandoned{Token: tok}, &h.out)
+	}
+	h.freed()
+	h.refusal(h.query("x", as("nobody")), model.Invalid)
+	h.refusal(h.query("x", func(e *event.QueryArrived) { e.Request.TopK = -1 }), model.Invalid)
+	h.refusal(h.query("x", func(e *event.QueryArrived) { e.Request.Key = "99" }), model.Invalid)
+	h.refusal(h.query("x", func(e *event.QueryArrived) { e.Request.Deadline = h.meta.Now }), model.NotRun)
+	h.freed()
+}
+
+// Guards against lookups that name daemons which take no work.
+func TestLookup(t *testing.T) {
+	h := newHarness(t, 1)
+	lookup := func() (r effect.ReplyLookup) {
+		h.reset()
+		h.s.LookupArrived(h.meta, event.LookupArrived{Token: 1, Service: "arhiv", Caller: "bench"}, &h.out)
+		return h.out.Effects[len(h.out.Effects)-1].(effect.ReplyLookup)
+	}
+	r := lookup()
+	if len(r.Addresses) != 3 || h.s.LastLookup() != h.meta.Now {
+		t.Fatalf("lookup %+v", r)
+	}
+	for _, a := range r.Addresses {
+		id, err := parseRequestID(model.RequestID(a.RequestIDPrefix + ".17"))
+		if err != nil || id.member.VM != a.VM || id.issued != h.meta.Wall {
+			t.Errorf("prefix %s: %+v %v", a.RequestIDPrefix, id, err)
+		}
+	}
+	h.v.controls.TakeOuts = []model.TakeOut{{FailureDomain: "d2"}}
+	h.v.peers[1].Leaving = true
+	if r = lookup(); len(r.Addresses) != 1 || r.Addresses[0].VM != "vm0" {
+		t.Errorf("lookup %+v", r)
+	}
+	h.v.peers[0].Serving = false
+	if r = lookup(); r.Refusal == nil || r.Refusal.Kind != model.NotRun {
+		t.Errorf("lookup %+v", r)
+	}
+}
+
+// Guards against wrong order, lost items and duplicate ids in the merge.
+func TestMergeTop(t *testing.T) {
+	item := func(id string, score float64) model.Item { return model.Item{ID: id, Score: score} }
+	shards := []shardRun{
+		{items: []model.Item{item("b", 1), item("a", 3), item("d", 2)}},
+		{},
+		{items: []model.Item{item("c", 3), item("a", 2.5), item("e", 0)}},
+	}
+	for _, k := range []int{3, 5, 40} {
+		var got []string
+		for _, it := range mergeTop(shards, k) {
+			got = append(got, fmt.Sprint(it.ID, it.Score))
+		}
+		want := []string{"a3", "c3", "d2", "b1", "e0"}
+		if !slices.Equal(got, want[:min(k, len(want))]) {
+			t.Errorf("top %d: %v", k, got)
+		}
+	}
+}
