Test the event loop on fakes

Covers the bounded queue, replies by token, every effect ending in its event, cancels, Execute streams, lost writes, ticks and a stalled log output.

--- /dev/null
+++ b/pkg/runtime/loop_test.go
@@ -0,0 +1,299 @@
+package runtime
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pistachiousher/pistachiousher/pkg/backend"
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/peer"
+	"github.com/pistachiousher/pistachiousher/pkg/platform"
+)
+
+var later = model.Time(time.Hour)
+
+// Guards against callers waiting on a full event queue: new work must be
+// refused as not run at once, and control events must still get in.
+func TestFullQueueRefusesCallers(t *testing.T) {
+	f := newFixture(t, 8)
+	for range f.callerLimit {
+		if !f.offer(event.QueryArrived{}) {
+			t.Fatal("caller work refused below the limit")
+		}
+	}
+	start := time.Now()
+	answer, refusal := f.Query(context.Background(), model.Request{ID: "i"}, time.Second)
+	if answer != nil || refusal == nil || refusal.Kind != model.NotRun || refusal.RetryAfter <= 0 {
+		t.Fatalf("answer %v, refusal %+v; want not_run", answer, refusal)
+	}
+	if took := time.Since(start); took > 500*time.Millisecond {
+		t.Errorf("the refusal took %v", took)
+	}
+	if l := f.Lookup(context.Background(), "s", "c"); l == nil || l.Refusal == nil {
+		t.Error("lookup was not refused")
+	}
+	if len(f.pending.waits) != 0 {
+		t.Errorf("%d replies are still awaited", len(f.pending.waits))
+	}
+	posted := make(chan bool)
+	go func() { posted <- f.post(event.StopRequested{}) }()
+	select {
+	case <-posted:
+	case <-time.After(time.Second):
+		t.Error("a control event did not get in")
+	}
+}
+
+// Guards against a reply reaching another request than its own, and against
+// work whose caller left running on unnoticed.
+func TestRepliesByToken(t *testing.T) {
+	f := newFixture(t, 0)
+	f.core.react = func(e event.Event) []effect.Effect {
+		switch b := e.Body.(type) {
+		case event.QueryArrived:
+			if b.Request.ID == "ignored" {
+				return nil
+			}
+			return []effect.Effect{effect.ReplyQuery{Token: b.Token, Answer: &model.Answer{RequestID: b.Request.ID}}}
+		case event.HeartbeatArrived:
+			return []effect.Effect{effect.ReplyHeartbeat{Token: b.Token, Result: model.LeaseGranted}}
+		}
+		return nil
+	}
+	f.run(t)
+	for _, id := range []model.RequestID{"a", "b", "c"} {
+		if a, _ := f.Query(context.Background(), model.Request{ID: id}, time.Second); a == nil || a.RequestID != id {
+			t.Errorf("request %s got %+v", id, a)
+		}
+	}
+	if r, err := f.Heartbeat(context.Background(), event.HeartbeatArrived{}); err != nil || r.Result != model.LeaseGranted {
+		t.Errorf("heartbeat: %+v, %v", r, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if a, r := f.Query(ctx, model.Request{ID: "ignored"}, time.Second); a != nil || r != nil {
+		t.Errorf("abandoned request got %v %v", a, r)
+	}
+	waitFor(t, "QueryAbandoned", func() bool { return len(seen[event.QueryAbandoned](f.core)) == 1 })
+}
+
+// Guards against effects that are dropped or sent to the wrong system: each
+// must end in the event that the core waits for.
+func TestEffectsEndInTheirEvents(t *testing.T) {
+	f := newFixture(t, 0)
+	f.backends.search = func(context.Context, *model.SubRequest) backend.Reply {
+		return backend.Reply{Result: model.SubResult{Outcome: model.OutcomeOK}, Cold: true, Load: 3}
+	}
+	epoch := &model.Epoch{Region: "r1", Number: 1}
+	f.do(
+		effect.SendHeartbeat{Peer: "vm2", ForEpoch: 9, Timeout: time.Second},
+		effect.SendExchange{}, effect.SendHandover{Peer: "vm2"}, effect.SendCancel{},
+		effect.FetchDocument{Kind: event.DocumentBundle, Address: "a:1"},
+		effect.ForwardQuery{Token: 8, Request: model.Request{ID: "fw", Deadline: later}},
+		effect.OpenExecute{Stream: 5, Subs: []model.SubRequest{{Deadline: later}}},
+		effect.CallBackend{Sub: model.SubRequest{Attempt: 7}, Deadline: later},
+		effect.PollBackend{Server: "leaf1"}, effect.WarmConnections{Count: 3},
+		effect.ReadVMList{}, effect.ReadDocument{Kind: event.DocumentControls},
+		effect.WriteEpoch{Epoch: epoch}, effect.WatchDocument{Kind: event.DocumentEpoch},
+	)
+	f.run(t)
+	if n := <-f.backends.warmed; n != 3 {
+		t.Errorf("warmed %d connections", n)
+	}
+	waitFor(t, "epoch written and watched", func() bool {
+		return len(seen[event.EpochWritten](f.core)) == 1 && len(seen[event.VMListRead](f.core)) == 1 && len(seen[event.DocumentArrived](f.core)) == 2
+	})
+	waitFor(t, "answers of peers and servers", func() bool {
+		return len(seen[event.HeartbeatAnswered](f.core)) == 1 && len(seen[event.ExchangeAnswered](f.core)) == 1 &&
+			len(seen[event.HandoverAnswered](f.core)) == 1 && len(seen[event.ForwardAnswered](f.core)) == 1 &&
+			len(seen[event.ExecuteEnded](f.core)) == 1 && len(seen[event.BackendAnswered](f.core)) == 1 &&
+			len(seen[event.BackendStatus](f.core)) == 1
+	})
+	if b := seen[event.BackendAnswered](f.core)[0]; b.Result.Attempt != 7 || !b.Cold || b.Load != 3 {
+		t.Errorf("backend answer %+v", b)
+	}
+	if s := seen[event.BackendStatus](f.core)[0]; s.Server != "leaf1" || s.Err == "" {
+		t.Errorf("status of another server was accepted: %+v", s)
+	}
+	for _, d := range seen[event.DocumentArrived](f.core) {
+		switch d.Document.Kind {
+		case event.DocumentBundle:
+			if d.Address != "a:1" || string(d.Document.Raw) != "raw" {
+				t.Errorf("bundle %+v", d)
+			}
+		case event.DocumentEpoch:
+			if d.ObjectVersion != 1 || d.Document.Epoch.Number != 1 {
+				t.Errorf("epoch %+v", d)
+			}
+		}
+	}
+	waitFor(t, "missing controls", func() bool {
+		for _, d := range seen[event.DocumentFailed](f.core) {
+			if d.Kind == event.DocumentControls && d.NotFound {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against cancels that reach nothing, and against an attempt that runs
+// twice because a peer repeated its id.
+func TestCancelBackendAndDuplicate(t *testing.T) {
+	f := newFixture(t, 0)
+	started := make(chan struct{}, 2)
+	f.backends.search = func(ctx context.Context, _ *model.SubRequest) backend.Reply {
+		started <- struct{}{}
+		<-ctx.Done()
+		return backend.Reply{Result: model.SubResult{Outcome: model.OutcomeCanceled}}
+	}
+	call := effect.CallBackend{From: model.MemberRef{VM: "vm2"}, Sub: model.SubRequest{Attempt: 1}, Deadline: later}
+	f.core.react = func(e event.Event) []effect.Effect {
+		switch e.Body.(type) {
+		case event.Started:
+			return []effect.Effect{call, call}
+		case event.CancelArrived:
+			return []effect.Effect{effect.CancelBackend{From: call.From, Attempt: 1}}
+		}
+		return nil
+	}
+	f.run(t)
+	<-started
+	if n := len(seen[event.BackendAnswered](f.core)); n != 0 {
+		t.Fatalf("%d answers before the cancel", n)
+	}
+	f.Cancel(context.Background(), event.CancelArrived{})
+	waitFor(t, "answer after the cancel", func() bool { return len(seen[event.BackendAnswered](f.core)) == 1 })
+	time.Sleep(20 * time.Millisecond)
+	if len(started) != 0 {
+		t.Error("the repeated attempt was run")
+	}
+}
+
+// Guards against results lost between an owner's reducer and its peer, against
+// streams opened twice, and against work that goes on for a peer that left.
+func TestOwnerStream(t *testing.T) {
+	f := newFixture(t, 0)
+	key := event.Stream{From: model.MemberRef{VM: "vm2", Incarnation: 3}, ID: 4}
+	f.core.react = func(e event.Event) []effect.Effect {
+		b, ok := e.Body.(event.ExecuteArrived)
+		if !ok || len(b.Subs) == 1 {
+			return nil
+		}
+		if left := b.Subs[0].Deadline.Sub(e.Now); left <= 0 || left > time.Second {
+			t.Errorf("%v left", left)
+		}
+		return []effect.Effect{
+			effect.SendSubResult{Stream: b.Stream, Result: model.SubResult{Attempt: 1}},
+			effect.SendSubResult{Stream: b.Stream, Result: model.SubResult{Attempt: 2}, Last: true},
+		}
+	}
+	f.run(t)
+	in := peer.Execute{Stream: key, Subs: make([]model.SubRequest, 2), Left: time.Second}
+	var got []model.AttemptID
+	err := f.Execute(context.Background(), in, func(r *model.SubResult) error {
+		if len(got) == 0 {
+			if err := f.Execute(context.Background(), in, nil); !errors.Is(err, peer.ErrBusy) {
+				t.Errorf("second stream of one number: %v", err)
+			}
+		}
+		got = append(got, r.Attempt)
+		return nil
+	})
+	if err != nil || len(got) != 2 || got[0] != 1 || got[1] != 2 {
+		t.Errorf("results %v, %v", got, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	in.Subs = in.Subs[:1]
+	if err := f.Execute(ctx, in, nil); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("stream without results: %v", err)
+	}
+	waitFor(t, "ExecuteGone", func() bool { return len(seen[event.ExecuteGone](f.core)) == 1 })
+}
+
+// Guards against repeating a write whose reply was lost: it must be read back.
+func TestLostEpochWriteIsReadBack(t *testing.T) {
+	f := newFixture(t, 0)
+	f.platform.lose = true
+	f.platform.objects[ControlsKey] = platform.Object{Version: 8}
+	f.do(effect.WriteEpoch{Epoch: &model.Epoch{Region: "r1", Number: 1}}, effect.ConfirmDocument{Kind: event.DocumentControls, ObjectVersion: 7})
+	f.run(t)
+	waitFor(t, "both results", func() bool {
+		return len(seen[event.EpochWritten](f.core)) == 1 && len(seen[event.DocumentConfirmed](f.core)) == 1
+	})
+	if w := seen[event.EpochWritten](f.core)[0]; w.Err != "" || w.Conflict || w.ObjectVersion != 1 {
+		t.Errorf("epoch: %+v", w)
+	}
+	if c := seen[event.DocumentConfirmed](f.core)[0]; !c.Conflict || c.ObjectVersion != 8 || c.Err != "" {
+		t.Errorf("confirm: %+v", c)
+	}
+	if f.platform.puts != 2 {
+		t.Errorf("%d writes, want 2", f.platform.puts)
+	}
+}
+
+// Guards against times that go back between events and ticks that never come.
+func TestTicksAndTime(t *testing.T) {
+	f := newFixture(t, 0)
+	var ticks int
+	f.core.react = func(e event.Event) []effect.Effect {
+		if _, ok := e.Body.(event.Tick); ok {
+			ticks++
+		}
+		return nil
+	}
+	f.core.wake = func() model.Time {
+		if ticks >= 3 {
+			return model.Never
+		}
+		return model.Time(ticks+1) * model.Time(5*time.Millisecond)
+	}
+	f.run(t)
+	waitFor(t, "three ticks", func() bool { return len(seen[event.Tick](f.core)) == 3 })
+	f.core.mu.Lock()
+	defer f.core.mu.Unlock()
+	for i := 1; i < len(f.core.events); i++ {
+		if f.core.events[i].Now < f.core.events[i-1].Now {
+			t.Errorf("event %d is earlier than the one before", i)
+		}
+	}
+}
+
+// blockedWriter never returns until released.
+type blockedWriter struct{ release chan struct{} }
+
+func (w blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return len(p), nil
+}
+
+// Guards against a stalled log output stopping the event loop.
+func TestLogDropsInsteadOfBlocking(t *testing.T) {
+	out := blockedWriter{make(chan struct{})}
+	w := NewLogWriter(out, log.DebugLevel, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- w.Run(ctx) }()
+	const lines = 3 * logQueue
+	start := time.Now()
+	for range lines {
+		w.Write(logevent.RuntimeExit, []logevent.Field{logevent.Str("reason", "a reason long enough to fill the output buffer soon")})
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("writing %d lines took %v", lines, took)
+	}
+	if w.Dropped() == 0 {
+		t.Error("no line was counted as dropped")
+	}
+	close(out.release)
+	cancel()
+	<-done
+}
