Strengthen the tests of slots

The random sequences are longer and have fewer failures, so that queues form, and the harness now checks closed streams, single cancels, deadlines in the queue and drains.

Also: an unknown class has the lowest priority instead of an index out of range, and ramp changes are not logged for routings without a ramp.

--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -153,7 +153,11 @@
 	}
 }
 
+// logRamp logs a change of the ramp where the ramp is in use.
 func logRamp(id logevent.ID, v *server, reason string, out *effect.List) {
+	if !v.needsOwner() {
+		return
+	}
 	out.Log(id, logevent.Str("server", v.name), logevent.Str("reason", reason), logevent.Int("limit", v.ramp.limit))
 }
 
--- a/pkg/core/slots/execute.go
+++ b/pkg/core/slots/execute.go
@@ -21,6 +21,8 @@
 	for i := range e.Subs {
 		t := &tasks[i]
 		t.sub, t.stream, t.arrived = e.Subs[i], st, m.Now
+		// A class that a newer daemon knows has the lowest priority here.
+		t.sub.Class = min(t.sub.Class, model.Bulk)
 		s.take(m, t, out)
 	}
 }
--- a/pkg/core/slots/invariant_test.go
+++ b/pkg/core/slots/invariant_test.go
@@ -20,11 +20,12 @@
 var commands = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) command {
 	number := rapid.IntRange(0, 999)
 	return command{rapid.IntRange(0, 11).Draw(t, "kind"), number.Draw(t, "a"), number.Draw(t, "b"), number.Draw(t, "c")}
-}), 1, 150)
+}), 40, 300)
 
 var outcomes = []model.Outcome{
-	model.OutcomeOK, model.OutcomeOK, model.OutcomeOK, model.OutcomeShed, model.OutcomeFailed, model.OutcomeTimeout,
-	model.OutcomeCanceled, model.OutcomeUnreachable, model.OutcomeDrained, model.OutcomeVersionGone,
+	model.OutcomeOK, model.OutcomeOK, model.OutcomeOK, model.OutcomeOK, model.OutcomeTimeout, model.OutcomeCanceled,
+	model.OutcomeOK, model.OutcomeOK, model.OutcomeOK, model.OutcomeOK, model.OutcomeTimeout, model.OutcomeCanceled,
+	model.OutcomeShed, model.OutcomeFailed, model.OutcomeUnreachable, model.OutcomeDrained, model.OutcomeVersionGone,
 }
 
 func (w *world) run(c command) {
@@ -33,7 +34,7 @@
 	case 0, 1, 2:
 		w.ask(1+c.b%4, model.SubRequest{
 			Server: server, Class: model.Class(c.c % int(model.NumClasses)), Caller: []model.CallerName{"x", "y", "z"}[c.b%3],
-			Deadline: w.now.Add(time.Duration(c.c) * time.Millisecond),
+			Deadline: w.now.Add(time.Duration(c.c*c.c) * time.Millisecond / 10),
 		})
 	case 3, 4, 5:
 		if len(w.calls) > 0 {
@@ -46,8 +47,10 @@
 	case 7:
 		id := event.Stream{From: entry, ID: event.StreamID(max(0, int(w.attempt)-c.a%8))}
 		w.step(func(m event.Meta, out *effect.List) { w.state.ExecuteGone(m, event.ExecuteGone{Stream: id}, out) })
+		delete(w.last, id)
 	case 8:
 		w.facts.owned[server] = c.b%3 > 0
+		w.facts.lease = time.Duration(min(c.a, 1)*(c.c+1)) * time.Millisecond
 		if c.c%2 == 0 { // Otherwise the change is only seen at the send.
 			w.step(w.state.Refresh)
 		}
@@ -62,13 +65,13 @@
 	case 10:
 		w.status(event.BackendStatus{Server: server, Draining: c.b%4 == 0, Cold: c.c%3 == 0})
 	case 11:
-		w.advance(time.Duration(c.b) * time.Duration(c.c) * time.Microsecond)
+		w.advance(time.Duration(c.b%10*c.c) * 100 * time.Microsecond)
 	}
 }
 
 func simulate(t *testing.T, rt *rapid.T, cs []command) *world {
 	w := newWorld(t, testBundle(model.RoutingOwned, 6,
-		model.BackendServer{Slots: 2, Cold: model.ColdStart{Slots: 1, Requests: 2}},
+		model.BackendServer{Slots: 2, Cold: model.ColdStart{Slots: 2, Requests: 2}},
 		model.BackendServer{Slots: 6, Cold: model.ColdStart{Slots: 2, Requests: 3}}))
 	w.t = rt
 	// stopping holds the times at which servers notice calls that were cut off.
@@ -92,6 +95,9 @@
 		if !w.facts.MayAct(w.now, def.Name) {
 			rt.Fatalf("sent to %s without its ownership", def.Name)
 		}
+		if w.facts.controls.ServerOut(def, int64(w.now)/1e6) {
+			rt.Fatalf("sent to %s, which is drained", def.Name)
+		}
 		if c.until > w.facts.LeaseUntil(w.now) || c.until > c.sub.Deadline || c.until <= w.now {
 			rt.Fatalf("deadline %d at %d, lease until %d", c.until, w.now, w.facts.LeaseUntil(w.now))
 		}
@@ -114,6 +120,11 @@
 	for len(w.calls) > 0 {
 		w.answer(0, model.OutcomeOK, false)
 	}
+	for stream, closed := range w.last {
+		if !closed {
+			rt.Fatalf("stream %v has results but no last one", stream)
+		}
+	}
 	if n := w.state.Running(); n != 0 {
 		rt.Fatalf("%d sub-requests left", n)
 	}
--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -54,9 +54,12 @@
 
 	w = newWorld(t, testBundle(model.RoutingOwned, 10, model.BackendServer{Slots: 1}))
 	bulk := w.ask(11, model.SubRequest{Class: model.Bulk})
-	urgent := w.ask(9, model.SubRequest{Class: model.Urgent})
-	if w.outcome(bulk) != model.OutcomeQueueFull || w.outcome(urgent) != model.OutcomeUnknown {
-		t.Errorf("bulk %v, urgent %v", w.outcome(bulk), w.outcome(urgent))
+	urgent := w.ask(10, model.SubRequest{Class: model.Urgent})
+	if got := w.outcome(bulk); got != model.OutcomeQueueFull {
+		t.Errorf("newest bulk: %v", got)
+	}
+	if w.outcome(urgent-1) != model.OutcomeUnknown || w.outcome(urgent) != model.OutcomeQueueFull {
+		t.Errorf("ninth urgent: %v, tenth: %v", w.outcome(urgent-1), w.outcome(urgent))
 	}
 	if n := w.state.servers["b1"].queue.classes[model.Bulk].length; n != 1 {
 		t.Errorf("%d bulk tasks wait, want the reserved one", n)
@@ -220,6 +223,22 @@
 	}
 }
 
+// Guards against a send on the strength of an ownership that has ended since
+// the request was queued.
+func TestNoStartWithoutTheLease(t *testing.T) {
+	w := newWorld(t, testBundle(model.RoutingOwned, 10, model.BackendServer{Slots: 1}))
+	w.ask(1, model.SubRequest{})
+	waiting := w.ask(1, model.SubRequest{})
+	w.facts.lease = 0
+	w.answer(0, model.OutcomeOK, false)
+	if got := w.outcome(waiting); len(w.calls) != 0 || got != model.OutcomeNotOwner {
+		t.Errorf("%d calls without a lease; waiting work: %v", len(w.calls), got)
+	}
+	if late := w.ask(1, model.SubRequest{}); w.outcome(late) != model.OutcomeNotOwner {
+		t.Errorf("new work: %v", w.outcome(late))
+	}
+}
+
 // Guards against a comparison in which the other routings depend on ownership
 // or have the owner's limit.
 func TestOtherRoutings(t *testing.T) {
@@ -285,10 +304,14 @@
 	moved := testBundle(model.RoutingOwned, 10, warmServer)
 	moved.Servers[0].Address = "127.0.0.1:9"
 	w.facts.bundle = moved
+	moved.Servers[0].Cold.Slots = 1
 	w.step(w.state.Refresh)
 	if got := w.outcome(waiting); got != model.OutcomeNotOwner {
 		t.Errorf("waiting work of a removed server: %v", got)
 	}
+	if got := w.limit(); got != 1 {
+		t.Errorf("limit %d at the new address, want cold.slots", got)
+	}
 	w.answer(0, model.OutcomeOK, false)
 	w.answer(0, model.OutcomeOK, false)
 	w.ask(1, model.SubRequest{})
--- a/pkg/core/slots/world_test.go
+++ b/pkg/core/slots/world_test.go
@@ -65,9 +65,11 @@
 	sent    map[attemptKey]bool
 	// answered has the outcomes with which calls ended.
 	answered map[attemptKey]model.Outcome
-	last     map[event.Stream]bool
-	attempt  model.AttemptID
-	record   []effect.Effect
+	canceled map[attemptKey]bool
+	// last tells for each stream with results whether it was closed.
+	last    map[event.Stream]bool
+	attempt model.AttemptID
+	record  []effect.Effect
 	// onCall sees each call before it is recorded.
 	onCall func(call)
 }
@@ -102,6 +104,7 @@
 		last:    map[event.Stream]bool{},
 
 		answered: map[attemptKey]model.Outcome{},
+		canceled: map[attemptKey]bool{},
 	}
 	w.state = New(&Config{View: w.facts})
 	for i := range b.Servers {
@@ -120,6 +123,12 @@
 		w.take(e)
 	}
 	w.record = append(w.record, out.Effects...)
+	wake := w.state.NextWake()
+	for _, t := range w.state.tasks {
+		if t.state == taskQueued && t.sub.Deadline < wake {
+			w.t.Fatalf("next wake at %d, after the deadline %d of attempt %d", wake, t.sub.Deadline, t.sub.Attempt)
+		}
+	}
 }
 
 func (w *world) take(e effect.Effect) {
@@ -148,6 +157,12 @@
 			w.t.Fatalf("result on the closed stream %v", e.Stream)
 		}
 		w.results[key], w.last[e.Stream] = e.Result, e.Last
+	case effect.CancelBackend:
+		key := attemptKey{e.From, e.Attempt}
+		if w.canceled[key] || !w.sent[key] {
+			w.t.Fatalf("cancel of %v, which was canceled before or never sent", key)
+		}
+		w.canceled[key] = true
 	case effect.PollBackend:
 		w.polls++
 	case effect.WarmConnections:
@@ -222,6 +237,11 @@
 		}
 	}
 	w.now = end
+	for _, t := range w.state.tasks {
+		if t.state == taskQueued && t.sub.Deadline <= w.now {
+			w.t.Fatalf("attempt %d waits at %d, after its deadline %d", t.sub.Attempt, w.now, t.sub.Deadline)
+		}
+	}
 }
 
 func (w *world) limit() int { return w.state.Reports()[0].Limit }
