--- /dev/null
+++ b/pkg/controls/change.go
@@ -0,0 +1,182 @@
+package controls
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// Target is what an entry takes out of service: a failure domain or a server.
+type Target struct {
+	FailureDomain model.FailureDomain
+	Server        model.ServerName
+}
+
+// String names the target.
+func (t Target) String() string {
+	if t.Server != "" {
+		return "backend server " + string(t.Server)
+	}
+	return "failure domain " + string(t.FailureDomain)
+}
+
+// Change is one change that an operator asks for. Entry.Since is the time of
+// the change in Unix milliseconds.
+type Change struct {
+	Entry model.ControlEntry
+	// Force also takes out the last replica of a shard and replaces or removes
+	// the entry of another author.
+	Force bool
+}
+
+// TakeOut takes a failure domain out of service. It returns the controls as
+// they are and false if there is an active entry with the same reason and end,
+// whoever wrote it.
+func TakeOut(c *model.Controls, b *model.Bundle, d model.FailureDomain, ch Change) (*model.Controls, bool, error) {
+	t := Target{FailureDomain: d}
+	if !slices.ContainsFunc(b.Servers, func(s model.BackendServer) bool { return s.FailureDomain == d }) {
+		return nil, false, &ErrUnknown{Target: t}
+	}
+	return add(c, b, t, ch)
+}
+
+// Drain takes a backend server out of service, like TakeOut.
+func Drain(c *model.Controls, b *model.Bundle, s model.ServerName, ch Change) (*model.Controls, bool, error) {
+	t := Target{Server: s}
+	if _, ok := b.Server(s); !ok {
+		return nil, false, &ErrUnknown{Target: t}
+	}
+	return add(c, b, t, ch)
+}
+
+// BringBack puts a failure domain back into service. Without an active entry
+// there is nothing to change. It needs no bundle, so that a domain that is no
+// longer in the bundle can be brought back.
+func BringBack(c *model.Controls, d model.FailureDomain, ch Change) (*model.Controls, bool, error) {
+	return remove(c, Target{FailureDomain: d}, ch)
+}
+
+// Undrain puts a backend server back into service, like BringBack.
+func Undrain(c *model.Controls, s model.ServerName, ch Change) (*model.Controls, bool, error) {
+	return remove(c, Target{Server: s}, ch)
+}
+
+func add(c *model.Controls, b *model.Bundle, t Target, ch Change) (*model.Controls, bool, error) {
+	if err := checkEntry(t.String(), ch.Entry); err != nil {
+		return nil, false, err
+	}
+	present, active := find(c, t, ch.Entry.Since)
+	if active && equivalent(present, ch.Entry) {
+		return c, false, nil
+	}
+	if active && present.Author != ch.Entry.Author && !ch.Force {
+		return nil, false, &ErrConflict{Target: t, Present: present, Wanted: ch.Entry}
+	}
+	entry := ch.Entry
+	if active {
+		entry.Since = present.Since
+	}
+	next := without(c, t, ch.Entry.Since)
+	if t.Server != "" {
+		next.Drains = append(next.Drains, model.Drain{Server: t.Server, ControlEntry: entry})
+	} else {
+		next.TakeOuts = append(next.TakeOuts, model.TakeOut{FailureDomain: t.FailureDomain, ControlEntry: entry})
+	}
+	lost := lostShards(c, next, b, ch.Entry.Since)
+	if len(lost) > 0 && !ch.Force {
+		return nil, false, &ErrLastReplica{Target: t, Shards: lost}
+	}
+	return next, true, nil
+}
+
+// equivalent reports whether the wanted entry adds nothing to the present one.
+func equivalent(present, wanted model.ControlEntry) bool {
+	return present.Until == wanted.Until && present.Reason == wanted.Reason
+}
+
+func remove(c *model.Controls, t Target, ch Change) (*model.Controls, bool, error) {
+	present, active := find(c, t, ch.Entry.Since)
+	if !active {
+		return c, false, nil
+	}
+	if present.Author != ch.Entry.Author && !ch.Force {
+		return nil, false, &ErrConflict{Target: t, Present: present, Wanted: ch.Entry}
+	}
+	return without(c, t, ch.Entry.Since), true, nil
+}
+
+// find returns the target's entry if it is active at wall (Unix ms).
+func find(c *model.Controls, t Target, wall int64) (model.ControlEntry, bool) {
+	for _, d := range c.Drains {
+		if t.Server != "" && d.Server == t.Server {
+			return d.ControlEntry, d.Active(wall)
+		}
+	}
+	for _, o := range c.TakeOuts {
+		if t.Server == "" && o.FailureDomain == t.FailureDomain {
+			return o.ControlEntry, o.Active(wall)
+		}
+	}
+	return model.ControlEntry{}, false
+}
+
+// without returns the next version without the target and without entries that
+// have ended by wall (Unix ms).
+func without(c *model.Controls, t Target, wall int64) *model.Controls {
+	next := &model.Controls{Version: c.Version + 1}
+	for _, o := range c.TakeOuts {
+		if o.Active(wall) && (t.Server != "" || o.FailureDomain != t.FailureDomain) {
+			next.TakeOuts = append(next.TakeOuts, o)
+		}
+	}
+	for _, d := range c.Drains {
+		if d.Active(wall) && d.Server != t.Server {
+			next.Drains = append(next.Drains, d)
+		}
+	}
+	return next
+}
+
+// lostShards returns the shards that have a usable replica before the change
+// and none after it.
+func lostShards(before, after *model.Controls, b *model.Bundle, wall int64) []ShardRef {
+	var lost []ShardRef
+	for _, s := range b.Services {
+		for _, l := range s.Layouts {
+			for _, sh := range l.Shards {
+				if usable(before, b, sh, wall) && !usable(after, b, sh, wall) {
+					lost = append(lost, ShardRef{Service: s.Name, Layout: l.Name, Shard: sh.Name})
+				}
+			}
+		}
+	}
+	return lost
+}
+
+func usable(c *model.Controls, b *model.Bundle, sh model.Shard, wall int64) bool {
+	return slices.ContainsFunc(sh.Replicas, func(name model.ServerName) bool {
+		s, ok := b.Server(name)
+		return ok && !c.ServerOut(s, wall)
+	})
+}
+
+func formatTime(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) }
+
+// Describe returns what the controls take out at wall (Unix ms), one line per
+// active entry.
+func Describe(c *model.Controls, wall int64) []string {
+	var out []string
+	for _, t := range c.TakeOuts {
+		if t.Active(wall) {
+			out = append(out, fmt.Sprintf("%s is out since %s by %s", Target{FailureDomain: t.FailureDomain}, formatTime(t.Since), describe(t.ControlEntry)))
+		}
+	}
+	for _, d := range c.Drains {
+		if d.Active(wall) {
+			out = append(out, fmt.Sprintf("%s is drained since %s by %s", Target{Server: d.Server}, formatTime(d.Since), describe(d.ControlEntry)))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/controls/errors.go
@@ -0,0 +1,71 @@
+package controls
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// ErrUnknown means that the bundle has no such failure domain or server.
+type ErrUnknown struct{ Target Target }
+
+// Error names the target.
+func (e *ErrUnknown) Error() string {
+	return fmt.Sprintf("controls: %s is not in the bundle", e.Target)
+}
+
+// ErrConflict means that another author's entry stands in the way.
+type ErrConflict struct {
+	Target  Target
+	Present model.ControlEntry
+	Wanted  model.ControlEntry
+}
+
+// Error shows both entries.
+func (e *ErrConflict) Error() string {
+	return fmt.Sprintf("controls: %s is already out by another author: present %s; wanted %s",
+		e.Target, describe(e.Present), describe(e.Wanted))
+}
+
+func describe(e model.ControlEntry) string {
+	until := "without end"
+	if e.Until != 0 {
+		until = "until " + formatTime(e.Until)
+	}
+	return fmt.Sprintf("%s (%q, %s)", e.Author, e.Reason, until)
+}
+
+// ShardRef names a shard.
+type ShardRef struct {
+	Service model.ServiceName
+	Layout  model.LayoutName
+	Shard   model.ShardName
+}
+
+// String returns service, layout and shard.
+func (r ShardRef) String() string { return fmt.Sprintf("%s/%s/%s", r.Service, r.Layout, r.Shard) }
+
+// ErrLastReplica means that the change would leave shards without a usable
+// replica.
+type ErrLastReplica struct {
+	Target Target
+	// Shards are in the order of the bundle; there is at least one.
+	Shards []ShardRef
+}
+
+// shownShards bounds the shards in the error text, in number.
+const shownShards = 5
+
+// Error names service, layout and shard of the first shards concerned.
+func (e *ErrLastReplica) Error() string {
+	var names []string
+	for _, s := range e.Shards[:min(len(e.Shards), shownShards)] {
+		names = append(names, s.String())
+	}
+	text := strings.Join(names, ", ")
+	if more := len(e.Shards) - shownShards; more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return fmt.Sprintf("controls: %s has the last usable replica of service/layout/shard %s", e.Target, text)
+}
