--- a/pkg/core/membership/epoch.go
+++ b/pkg/core/membership/epoch.go
@@ -18,6 +18,9 @@
 	// panelQuiet is the time without any answer of the panel after which a
 	// daemon reads the VM list itself.
 	panelQuiet = 3 * time.Second
+	// activeLate is the time after which an epoch that is not active yet makes
+	// a daemon read the VM list: members of the previous panel may be gone.
+	activeLate = 2 * time.Second
 )
 
 // vmList is the platform's VM list as last read.
@@ -85,6 +88,8 @@
 	s.hurry(m.Now)
 	if s.OnPanel() {
 		s.vms.next = min(s.vms.next, m.Now.Add(1))
+	} else {
+		s.vms.next = min(s.vms.next, m.Now.Add(activeLate))
 	}
 }
 
@@ -141,13 +146,25 @@
 		return
 	}
 	l.next = m.Now.Add(vmListInterval)
-	if !s.OnPanel() && s.cur != nil && m.Now.Sub(max(s.writer.panelHeard, s.cur.learned)) < panelQuiet {
+	if !s.needsVMList(m.Now) {
 		return
 	}
 	l.asked = m.Now
 	out.Add(effect.ReadVMList{})
 }
 
+// needsVMList keeps the number of readers small: panel members read the list
+// and others only while they cannot go on without it.
+func (s *State) needsVMList(now model.Time) bool {
+	if s.cur == nil || s.OnPanel() {
+		return true
+	}
+	if !s.cur.active && now.Sub(s.cur.learned) >= activeLate {
+		return true
+	}
+	return now.Sub(max(s.writer.panelHeard, s.cur.learned)) >= panelQuiet
+}
+
 // VMListRead takes the VM list. A panel member's VM that is missing from a list
 // which was asked for after the epoch was learned is gone, because it was in
 // the list that the epoch's writer read.
--- a/pkg/core/membership/lease.go
+++ b/pkg/core/membership/lease.go
@@ -150,11 +150,11 @@
 	if i < 0 {
 		return
 	}
-	s.writer.panelHeard = m.Now
 	if s.cur.epoch.Panel[i] != e.Header.From {
 		s.loseVoter(i, logevent.PanelMemberRestarted, out)
 		return
 	}
+	s.writer.panelHeard = m.Now
 	if e.Header.Epoch != s.cur.epoch.Number {
 		return
 	}
--- a/pkg/core/membership/leave.go
+++ b/pkg/core/membership/leave.go
@@ -208,7 +208,7 @@
 		}
 		p.next = m.Now.Add(passRetry)
 	}
-	if !e.Accepted {
+	if !e.Accepted && e.Err != "" {
 		out.Log(logevent.HandoverFailed, logevent.Str("to", e.To), logevent.Str("error", e.Err))
 	}
 	s.step(m, out)
--- a/pkg/core/membership/view.go
+++ b/pkg/core/membership/view.go
@@ -114,6 +114,14 @@
 	return v.fences[ref].majorityOf(len(v.epoch.Panel))
 }
 
+// fencedByRest reports whether a majority of the panel members that are not lost
+// fenced the incarnation. It is enough to leave it out of the next epoch, which
+// is safe for any member, but not to act in its place.
+func (v *epochView) fencedByRest(ref model.MemberRef) bool {
+	rest := len(v.epoch.Panel) - bits.OnesCount64(uint64(v.lost))
+	return v.fenced(ref) || rest > 0 && (v.fences[ref]&^v.lost).majorityOf(rest)
+}
+
 func (v *epochView) isMember() bool {
 	m, ok := v.epoch.Member(v.self.VM)
 	return ok && m.MemberRef == v.self
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -234,6 +234,10 @@
 		}
 	}
 	chosen := s.cfg.Panel(fit, s.vms.live, keep, MaxPanel)
+	if len(chosen) > 0 && len(chosen)%2 == 0 {
+		// An even panel bears no more losses than one with a member less.
+		chosen = s.cfg.Panel(fit, s.vms.live, keep, len(chosen)-1)
+	}
 	if len(keep) == len(s.cur.epoch.Panel) && len(chosen) <= len(keep) {
 		return s.cur.epoch.Panel
 	}
@@ -247,7 +251,7 @@
 func (s *State) panelMembers(now model.Time) []model.Member {
 	var members []model.Member
 	for _, m := range s.cur.epoch.Members {
-		if s.cur.fenced(m.MemberRef) {
+		if s.cur.fencedByRest(m.MemberRef) {
 			continue
 		}
 		if l := s.panel.leases[m.MemberRef]; l != nil && l.member.Leaving {
