--- a/pkg/core/membership/invariant_test.go
+++ b/pkg/core/membership/invariant_test.go
@@ -187,7 +187,9 @@
 		"leave": func(t *rapid.T) {
 			n := f.pick(t)
 			n.post(leaveBody(n))
-			f.leaving = append(f.leaving, n)
+			if !slices.Contains(f.leaving, n) {
+				f.leaving = append(f.leaving, n)
+			}
 		},
 		"bundle": func(t *rapid.T) { f.w.rollOut(len(f.w.bundles[0].Servers), rapid.IntRange(0, 1).Draw(t, "shift")) },
 		"":       func(t *rapid.T) { f.run(ms(t, 1, 1500)) },
@@ -237,10 +239,10 @@
 func (f *fuzz) recover(t *rapid.T) {
 	f.heal()
 	f.w.down = false
-	if f.live() == 0 {
-		f.join()
-	}
 	for range 40 {
+		if f.live() == len(f.leaving) {
+			f.join()
+		}
 		f.run(time.Second)
 		if f.o.settled() == "" {
 			return
