--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -160,16 +160,18 @@
 	if !s.cur.active || now < s.cur.learned.Add(epochInterval) || !s.vms.read {
 		return nil
 	}
-	if s.OnPanel() {
-		if s.heartbeatOverdue(now) {
+	// A lost panel can fence nobody any more, so also its remaining members go
+	// by what peers report.
+	if s.panelLost() {
+		if s.leave.announced {
 			return nil
 		}
-		return s.nextEpoch(now, s.panelMembers(now))
-	}
-	if s.panelLost() && !s.leave.announced {
 		return s.nextEpoch(now, s.strangerMembers(now))
 	}
-	return nil
+	if !s.OnPanel() || s.heartbeatOverdue(now) {
+		return nil
+	}
+	return s.nextEpoch(now, s.panelMembers(now))
 }
 
 // firstEpoch starts a region that has no epoch with this daemon alone.
