Pause starts at a backend server that fails in a row

A cold server that falls over answers 500 at once for a second. From the third failure in a row on, starts pause for 20 ms, doubling to 500 ms; work waits or is refused as not sent. TestFailingServerIsTriedRarely: at most 20 tries in a second instead of one per request.

--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -88,7 +89,7 @@
 	case model.OutcomeExpired:
 		// The deadline passed before the call began; it says nothing of the server.
 	default:
-		s.learnFailure(v, e.Cold, out)
+		s.learnFailure(m, v, e.Cold, out)
 	}
 }
 
@@ -106,6 +107,8 @@
 	s.learnAnswer(m, v, cold, out)
 	v.gate.hold = 0
 	s.clearFailures(v, out)
+	// The next Tick ends a pause that this answer shows to be needless.
+	v.pausedUntil = min(v.pausedUntil, m.Now)
 	if s.learnLatency(v, took, false, out) {
 		return
 	}
@@ -138,11 +141,40 @@
 
 // learnFailure restarts the ramp: a server that fails calls has fallen over
 // under its load or was restarted, and comes back cold in both cases.
-func (s *State) learnFailure(v *server, cold bool, out *effect.List) {
+func (s *State) learnFailure(m event.Meta, v *server, cold bool, out *effect.List) {
 	v.cold = cold
 	v.adaptive.decrease()
 	s.restartRamp(v, "failure", out)
 	s.addFailure(v, out)
+	if v.failures >= unusableFailures && v.needsOwner() {
+		s.pause(m, v)
+	}
+}
+
+// pause stops starts at the server for a time that grows with its failures.
+func (s *State) pause(m event.Meta, v *server) {
+	length := maxPause
+	if n := v.failures - unusableFailures; n < bits.Len(uint(maxPause/minPause)) {
+		length = min(minPause<<n, maxPause)
+	}
+	if v.pausedUntil == 0 {
+		s.paused = append(s.paused, v)
+	}
+	v.pausedUntil = m.Now.Add(length)
+}
+
+// resume starts work at the servers whose pause is over.
+func (s *State) resume(m event.Meta, out *effect.List) {
+	for i := 0; i < len(s.paused); {
+		v := s.paused[i]
+		if m.Now < v.pausedUntil {
+			i++
+			continue
+		}
+		v.pausedUntil = 0
+		s.paused = slices.Delete(s.paused, i, i+1)
+		s.pump(m, v, out)
+	}
 }
 
 // restartRamp takes the server to be cold.
--- a/pkg/core/slots/execute.go
+++ b/pkg/core/slots/execute.go
@@ -47,7 +47,7 @@
 	}
 	s.tasks[t.key()] = t
 	t.stream.tasks = append(t.stream.tasks, t)
-	if v.queue.length == 0 && v.taken() < v.limit(s.view.Daemons()) {
+	if v.queue.length == 0 && v.free(v.limit(s.view.Daemons())) {
 		s.start(m, t, out)
 		return
 	}
@@ -63,6 +63,9 @@
 	if v.gate.closed() {
 		return model.OutcomeDrained
 	}
+	if t.sub.Deadline <= v.pausedUntil {
+		return model.OutcomeExpired
+	}
 	limit := v.limit(s.view.Daemons())
 	ahead := max(0, v.queue.ahead(t.sub.Class)+v.taken()+1-limit)
 	idle := v.running == 0 && v.queue.length == 0 || v.routing() == model.RoutingDirect
@@ -102,7 +105,7 @@
 		return
 	}
 	limit := v.limit(s.view.Daemons())
-	for v.taken() < limit {
+	for v.free(limit) {
 		t := v.queue.pop()
 		if t == nil {
 			return
--- a/pkg/core/slots/refresh.go
+++ b/pkg/core/slots/refresh.go
@@ -38,6 +38,7 @@
 // Tick does the work that is due by time.
 func (s *State) Tick(m event.Meta, out *effect.List) {
 	s.settleSlots(m, out)
+	s.resume(m, out)
 	s.expire(m, out)
 	if m.Now >= s.refreshAt {
 		s.Refresh(m, out)
--- a/pkg/core/slots/server.go
+++ b/pkg/core/slots/server.go
@@ -10,6 +10,11 @@
 const (
 	// unusableFailures in a row make a server unusable in reports.
 	unusableFailures = 3
+	// Pauses after unusableFailures or more failures in a row, doubling from
+	// minPause to maxPause. A server that fails at once would otherwise draw
+	// hundreds of requests a second to itself.
+	minPause = 20 * time.Millisecond
+	maxPause = 500 * time.Millisecond
 	// drainHold is how long a server that refused work as draining gets none,
 	// whatever its lagging status says. It doubles up to maxDrainHold when the
 	// status turns out to have been wrong.
@@ -46,12 +51,15 @@
 
 	gate     gate
 	failures int
-	poll     poll
-	report   model.ServerReport
-	serves   []model.Serving
-	gone     []goneVersion
-	refused  refusalCounts
-	shed     int
+	// pausedUntil is 0 unless the server is paused after failures.
+	pausedUntil model.Time
+
+	poll    poll
+	report  model.ServerReport
+	serves  []model.Serving
+	gone    []goneVersion
+	refused refusalCounts
+	shed    int
 }
 
 // gate decides whether a server gets new work.
@@ -130,6 +138,9 @@
 	return true
 }
 
+// free reports whether another call may start now.
+func (v *server) free(limit int) bool { return v.pausedUntil == 0 && v.taken() < limit }
+
 func (v *server) queueLimit() int {
 	if v.service == nil || v.service.Policy.QueueLimit <= 0 {
 		return defaultQueueLimit
--- a/pkg/core/slots/slots.go
+++ b/pkg/core/slots/slots.go
@@ -67,6 +67,8 @@
 	expiring deadlineHeap
 	// settling holds slots that are not free yet, earliest first.
 	settling []settlingSlot
+	// paused holds the servers that get no work for a while after failures.
+	paused []*server
 	// pollAt is when the next status read is due and refreshAt when the facts
 	// of other reducers are looked at again: controls end by the wall clock and
 	// leases run out without an event.
@@ -123,6 +125,9 @@
 	if len(s.settling) > 0 {
 		wake = min(wake, s.settling[0].at)
 	}
+	for _, v := range s.paused {
+		wake = min(wake, v.pausedUntil)
+	}
 	return wake
 }
 
--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -239,6 +239,29 @@
 	}
 }
 
+// Guards against a server that fails at once and so draws all work to itself,
+// and against one that is never tried again.
+func TestFailingServerIsTriedRarely(t *testing.T) {
+	w := newWorld(t, testBundle(model.RoutingOwned, 100, coldServer))
+	tries := 0
+	for range 1000 {
+		w.ask(1, model.SubRequest{Deadline: w.now.Add(100 * time.Millisecond)})
+		for len(w.calls) > 0 {
+			tries++
+			w.answer(0, model.OutcomeUnreachable, false)
+		}
+		w.advance(time.Millisecond)
+	}
+	if tries < unusableFailures+2 || tries > 20 {
+		t.Errorf("%d tries in a second", tries)
+	}
+	w.advance(maxPause)
+	w.serve(10, time.Millisecond)
+	if got := w.state.Reports()[0]; !got.Usable || got.Limit != 4 {
+		t.Errorf("report after good answers: %+v", got)
+	}
+}
+
 // Guards against a comparison in which the other routings depend on ownership
 // or have the owner's limit.
 func TestOtherRoutings(t *testing.T) {
