--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// Guards against work for a server that was drained before this daemon first
+// sent to it or learned of its ownership.
+func TestDrainBeforeTheFirstSend(t *testing.T) {
+	for _, routing := range []model.Routing{model.RoutingOwned, model.RoutingDirect} {
+		w := newWorld(t, testBundle(routing, 10, warmServer))
+		w.state = New(&Config{View: w.facts})
+		w.facts.controls.TakeOuts = []model.TakeOut{{FailureDomain: "osijek-a"}}
+		if a := w.ask(1, model.SubRequest{}); w.outcome(a) != model.OutcomeDrained {
+			t.Errorf("%s: %v", routing, w.outcome(a))
+		}
+	}
+	w := newWorld(t, testBundle(model.RoutingOwned, 10, warmServer))
+	w.state = New(&Config{View: w.facts})
+	waiting := w.ask(3, model.SubRequest{})
+	w.facts.controls.TakeOuts = []model.TakeOut{{FailureDomain: "osijek-a"}}
+	w.step(w.state.Refresh)
+	if got := w.outcome(waiting); got != model.OutcomeDrained {
+		t.Errorf("waiting work: %v", got)
+	}
+}
+
 // Guards against a ramp that the status endpoint raises, that does not follow
 // good answers, or that ignores a shed, a cold or a slow server.
 func TestRamp(t *testing.T) {
@@ -239,6 +260,29 @@
 	}
 }
 
+// Guards against a server that fails at once and so draws all work to itself,
+// and against one that is never tried again.
+func TestFailingServerIsTriedRarely(t *testing.T) {
+	w := newWorld(t, testBundle(model.RoutingOwned, 100, coldServer))
+	tries := 0
+	for range 1000 {
+		w.ask(1, model.SubRequest{Deadline: w.now.Add(100 * time.Millisecond)})
+		for len(w.calls) > 0 {
+			tries++
+			w.answer(0, model.OutcomeUnreachable, false)
+		}
+		w.advance(time.Millisecond)
+	}
+	if tries < unusableFailures+2 || tries > 20 {
+		t.Errorf("%d tries in a second", tries)
+	}
+	w.advance(maxPause)
+	w.serve(10, time.Millisecond)
+	if got := w.state.Reports()[0]; !got.Usable || got.Limit != 4 {
+		t.Errorf("report after good answers: %+v", got)
+	}
+}
+
 // Guards against a comparison in which the other routings depend on ownership
 // or have the owner's limit.
 func TestOtherRoutings(t *testing.T) {
