query: retry at the successor of an owner that died silently

A VM that dies without closing its connections keeps its streams open until their deadline, so idempotent queries missed its shards although a successor was known.

--- a/pkg/core/query/bench_test.go
+++ b/pkg/core/query/bench_test.go
@@ -8,19 +8,26 @@
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
-// BenchmarkEvent runs queries of 10 shards with 10 items each and reports the
-// cost per event, with a backlog of 2000 other queries.
+// BenchmarkEvent reports the cost per event of queries with 10 items a shard,
+// over the current and the planned number of shards.
 func BenchmarkEvent(b *testing.B) {
-	h := newHarness(b, 10)
+	for _, bm := range []struct{ shards, backlog int }{{10, 2000}, {1900, 20}} {
+		b.Run(fmt.Sprintf("shards=%d", bm.shards), func(b *testing.B) { benchmark(b, bm.shards, bm.backlog) })
+	}
+}
+
+// benchmark runs queries to their end while backlog others wait.
+func benchmark(b *testing.B, shards, backlog int) {
+	h := newHarness(b, shards)
 	h.v.policy().MaxInFlight = 10_000
 	h.warm(10)
-	for i := range 2000 {
+	for i := range backlog {
 		h.query(fmt.Sprint("backlog", i), nil)
 	}
-	items := make([][]model.Item, 10)
+	items := make([][]model.Item, shards)
 	for i := range items {
 		for j := range 10 {
-			items[i] = append(items[i], model.Item{ID: fmt.Sprint("item", i, j), Score: float64(100 - 10*j - i)})
+			items[i] = append(items[i], model.Item{ID: fmt.Sprintf("item%d.%d", i, j), Score: float64(-shards*j - i)})
 		}
 	}
 	req := model.Request{ID: "bench", Service: "arhiv", Caller: "bench", Idempotent: true, Query: "q"}
--- a/pkg/core/query/fanout.go
+++ b/pkg/core/query/fanout.go
@@ -41,12 +41,12 @@
 		return
 	}
 	slices.SortFunc(s.picks, func(a, b pick) int {
-		return cmp.Or(cmp.Compare(a.peer, b.peer), cmp.Compare(a.shard, b.shard))
+		return cmp.Or(cmp.Compare(a.owner.VM, b.owner.VM), cmp.Compare(a.shard, b.shard))
 	})
 	s.logRouted(c, r)
 	for rest := s.picks; len(rest) > 0; {
 		n := 1
-		for n < len(rest) && rest[n].peer == rest[0].peer {
+		for n < len(rest) && rest[n].owner == rest[0].owner {
 			n++
 		}
 		s.open(c, r, rest[:n])
@@ -59,7 +59,7 @@
 func (s *State) open(c *step, r *run, picks []pick) {
 	s.lastStream++
 	id := s.lastStream
-	st := &stream{run: r, peer: picks[0].peer, address: picks[0].address, waiting: len(picks)}
+	st := &stream{run: r, peer: picks[0].owner.VM, address: picks[0].address, waiting: len(picks)}
 	s.streams[id] = st
 	r.streams = append(r.streams, id)
 	subs := make([]model.SubRequest, len(picks))
@@ -75,12 +75,14 @@
 	s.countAttempt(r, p.kind)
 	r.sent++
 	r.attempts = append(r.attempts, attempt{
-		id: s.lastAttempt, shard: p.shard, server: p.server, stream: id, sentAt: c.Now, kind: p.kind,
+		id: s.lastAttempt, shard: p.shard, server: p.server, owner: p.owner,
+		stream: id, sentAt: c.Now, kind: p.kind,
 	})
 	sh := &r.shards[p.shard]
 	sh.live++
 	sh.tries++
-	sh.dueAt = s.hedgeAt(c, r, sh)
+	sh.hedgeAt = s.hedgeAt(c, r, sh)
+	sh.dueAt = r.checkAt(c.Now, sh)
 	s.schedule(r, sh.dueAt)
 	return model.SubRequest{
 		Attempt:    s.lastAttempt,
@@ -121,13 +123,13 @@
 	buf := make([]byte, 0, 128)
 	for i := 0; i < len(s.picks); {
 		n := 1
-		for i+n < len(s.picks) && s.picks[i+n].peer == s.picks[i].peer {
+		for i+n < len(s.picks) && s.picks[i+n].owner == s.picks[i].owner {
 			n++
 		}
 		if i > 0 {
 			buf = append(buf, ' ')
 		}
-		buf = append(buf, s.picks[i].peer...)
+		buf = append(buf, s.picks[i].owner.VM...)
 		buf = append(buf, ':')
 		buf = strconv.AppendInt(buf, int64(n), 10)
 		i += n
--- a/pkg/core/query/fuzz_test.go
+++ b/pkg/core/query/fuzz_test.go
@@ -51,11 +51,16 @@
 
 // started checks that a non-idempotent shard has no attempt that may have left.
 func (o *oracle) started(x sent) {
+	snapshots := map[model.Snapshot]bool{x.sub.Snapshot: true}
 	for _, y := range o.attempts[x.sub.RequestID] {
+		snapshots[y.sub.Snapshot] = true
 		if !x.sub.Idempotent && y.sub.Shard == x.sub.Shard && !o.outcomes[y.sub.Attempt].NotSent() {
 			o.rt.Fatalf("%s of %s started again after %v", x.sub.Shard, x.sub.RequestID, o.outcomes[y.sub.Attempt])
 		}
 	}
+	if x.sub.Idempotent && len(snapshots) > 2 {
+		o.rt.Fatalf("%s moved twice: %v", x.sub.RequestID, snapshots)
+	}
 	o.attempts[x.sub.RequestID] = append(o.attempts[x.sub.RequestID], x)
 	o.open = append(o.open, x)
 }
@@ -102,6 +107,12 @@
 			o.rt.Fatalf("missing %+v of %+v", m, a)
 		}
 	}
+	for _, x := range o.attempts[req.ID] {
+		out := o.outcomes[x.sub.Attempt]
+		if !req.Idempotent && !a.Complete && !out.NotRun() && out != model.OutcomeOK {
+			o.rt.Fatalf("answer, but attempt %d ended %v", x.sub.Attempt, out)
+		}
+	}
 	if len(shards) != a.Answered || a.Asked != a.Answered+len(a.Missing) || a.Complete != (a.Asked == a.Answered) {
 		o.rt.Fatalf("coverage of %+v", a)
 	}
--- a/pkg/core/query/hedge.go
+++ b/pkg/core/query/hedge.go
@@ -26,12 +26,13 @@
 // budget it looks again after the same delay.
 func (s *State) hedge(c *step, r *run, i int) {
 	sh := &r.shards[i]
+	sh.hedgeAt = model.Never
 	p, why := s.choose(c, r, i)
 	if why != "" || p.tries > 0 {
 		return
 	}
 	if !r.service.hedges.take() {
-		sh.dueAt = s.hedgeAt(c, r, sh)
+		sh.hedgeAt = s.hedgeAt(c, r, sh)
 		return
 	}
 	sh.hedged = true
@@ -41,7 +42,7 @@
 		logevent.Str("request", r.req.ID),
 		logevent.Str("shard", sh.shard.Name),
 		logevent.Str("server", p.server),
-		logevent.Str("owner", p.peer))
+		logevent.Str("owner", p.owner.VM))
 }
 
 // sampleLatency records the time that an attempt took. The elapsed time of a
--- a/pkg/core/query/policy_test.go
+++ b/pkg/core/query/policy_test.go
@@ -125,16 +125,27 @@
 		t.Error("the straggler's stream was not closed")
 	}
 	h.freed()
+
+	tok = h.query(h.id(1), once)
+	h.advance(499 * ms)
+	if _, early := h.replies[tok]; early {
+		t.Error("gave up a non-idempotent query before its deadline")
+	}
+	h.advance(ms)
+	h.refusal(tok, model.MayHaveRun)
 }
 
 // Guards against sending to drained or unusable servers and against giving up
 // on an owner that is succeeded in time.
 func TestReplicaChoice(t *testing.T) {
-	h := newHarness(t, 4)
+	h := newHarness(t, 10)
+	h.v.policy().Mode = model.TailFirst
 	h.v.controls.Drains = []model.Drain{{Server: "s00a"}, {Server: "s03a"}, {Server: "s03b"}}
-	down := h.v.reports["s01a"]
-	down.Usable = false
-	h.v.reports["s01a"] = down
+	for _, s := range []model.ServerName{"s01a", "s04a", "s05a", "s06a", "s07a", "s08a", "s09a"} {
+		down := h.v.reports[s]
+		down.Usable = false
+		h.v.reports[s] = down
+	}
 	busy := h.v.reports["s02a"]
 	busy.Load = 8
 	h.v.reports["s02a"] = busy
@@ -152,9 +163,31 @@
 	h.advance(resolveDelay)
 	h.post(h.subs()[0].result(model.OutcomeOK))
 	a := h.answer(tok)
-	if a.Answered != 3 || a.Missing[0] != (model.MissingShard{Shard: "sh03", Reason: model.MissingDrained}) {
+	if a.Answered != 9 || a.Missing[0] != (model.MissingShard{Shard: "sh03", Reason: model.MissingDrained}) {
+		t.Errorf("answer %+v", a)
+	}
+}
+
+// Guards against waiting until the deadline for an owner that died silently.
+func TestOwnerSucceeded(t *testing.T) {
+	h := newHarness(t, 2)
+	tok := h.query("a", nil)
+	subs := h.subs()
+	h.post(subs[0].result(model.OutcomeOK))
+	dead := subs[1].sub.Server
+	successor := member("vm3", "d1")
+	h.v.owners[dead] = successor
+	h.advance(ownerCheck)
+	retry := h.subs()
+	if len(retry) != 1 || h.s.Counts().Retries != 1 {
+		t.Fatalf("retries %+v", retry)
+	}
+	h.post(subs[1].result(model.OutcomeOK))
+	h.post(retry[0].result(model.OutcomeOK))
+	if a := h.answer(tok); !a.Complete || h.s.Counts().Dropped != 1 {
 		t.Errorf("answer %+v", a)
 	}
+	h.freed()
 }
 
 // Guards against pinning a snapshot that is only partly served.
--- a/pkg/core/query/replica.go
+++ b/pkg/core/query/replica.go
@@ -14,8 +14,8 @@
 	shard  int
 	kind   attemptKind
 	server model.ServerName
-	// peer owns the server or, without ownership, is this daemon.
-	peer    model.VM
+	// owner owns the server or, without ownership, is this daemon.
+	owner   model.MemberRef
 	address string
 	// tries counts the query's earlier attempts at the server.
 	tries int
@@ -81,14 +81,19 @@
 	return slices.Contains(versions, r.snapshot.IndexVersion)
 }
 
+// owned reports whether the query's sub-requests go through owners.
+func (r *run) owned() bool {
+	return r.policy.Routing == model.RoutingOwned || r.policy.Routing == ""
+}
+
 // route sets the daemon that sends to the server.
 func (s *State) route(r *run, p *pick) bool {
-	if r.policy.Routing != model.RoutingOwned && r.policy.Routing != "" {
-		p.peer = s.view.Self().VM
+	if !r.owned() {
+		p.owner = s.view.Self()
 		return true
 	}
 	owner, ok := s.view.Owner(p.server)
-	p.peer, p.address = owner.VM, owner.PeerAddress
+	p.owner, p.address = owner.MemberRef, owner.PeerAddress
 	return ok
 }
 
--- a/pkg/core/query/result_test.go
+++ b/pkg/core/query/result_test.go
@@ -1,9 +1,11 @@
 package query
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -27,6 +29,17 @@
 	if len(moved) != 3 {
 		t.Fatalf("moved %d shards, want all 3", len(moved))
 	}
+	if !slices.Contains(h.out.Effects, effect.Effect(effect.CloseExecute{Stream: old[2].stream})) {
+		t.Error("attempts of the earlier snapshot were not canceled")
+	}
+	for s := range h.v.reports {
+		h.v.versions(s, 6, 7)
+	}
+	h.post(moved[0].result(model.OutcomeVersionGone))
+	moved = append(moved[1:], h.subs()...)
+	if len(moved) != 3 {
+		t.Fatalf("moved again: %+v", moved)
+	}
 	h.post(old[2].result(model.OutcomeOK))
 	crossed := old[2].result(model.OutcomeOK)
 	crossed.Stream = moved[2].stream
@@ -38,7 +51,7 @@
 		h.post(x.result(model.OutcomeOK))
 	}
 	a := h.answer(tok)
-	if !a.Complete || a.Snapshot.IndexVersion != 6 || a.Attempts != 6 {
+	if !a.Complete || a.Snapshot.IndexVersion != 6 || a.Attempts != 7 {
 		t.Fatalf("answer %+v", a)
 	}
 	for _, it := range a.Items {
@@ -52,6 +65,31 @@
 	h.freed()
 }
 
+// Guards against missing a layout that becomes ready while a shard waits, and
+// against using the shards of the layout that was left.
+func TestMoveToFewerShards(t *testing.T) {
+	h := newHarness(t, 4)
+	h.v.repartition(false)
+	tok := h.query("a", nil)
+	for _, x := range h.subs() {
+		h.post(x.result(model.OutcomeVersionGone))
+	}
+	for _, x := range h.subs() {
+		h.post(x.result(model.OutcomeVersionGone))
+	}
+	svc := &h.v.bundle.Services[0]
+	svc.Layouts = svc.Layouts[:1]
+	h.v.repartition(true)
+	h.advance(resolveDelay)
+	for _, x := range h.subs() {
+		h.post(x.result(model.OutcomeOK))
+	}
+	if a := h.answer(tok); !a.Complete || a.Asked != 2 || a.Snapshot.Layout != "l2" {
+		t.Fatalf("answer %+v", a)
+	}
+	h.freed()
+}
+
 // Guards against moving to a snapshot that covers less, and more than once.
 func TestVersionGoneWithoutNewerSnapshot(t *testing.T) {
 	h := newHarness(t, 3)
--- a/pkg/core/query/retry.go
+++ b/pkg/core/query/retry.go
@@ -106,5 +106,5 @@
 		logevent.Str("shard", sh.shard.Name),
 		logevent.Str("after", sh.last.String()),
 		logevent.Str("server", p.server),
-		logevent.Str("owner", p.peer))
+		logevent.Str("owner", p.owner.VM))
 }
--- a/pkg/core/query/run.go
+++ b/pkg/core/query/run.go
@@ -73,8 +73,10 @@
 	live   int
 	tries  int
 	hedged bool
-	// dueAt is when to hedge (an attempt is live) or to try again (none is).
-	dueAt model.Time
+	// dueAt is when to look at the shard: to hedge or to check the owner while
+	// an attempt is live, else to try again.
+	dueAt   model.Time
+	hedgeAt model.Time
 }
 
 // attempt is one sub-request sent.
@@ -82,6 +84,7 @@
 	id      model.AttemptID
 	shard   int
 	server  model.ServerName
+	owner   model.MemberRef
 	stream  event.StreamID
 	sentAt  model.Time
 	kind    attemptKind
@@ -192,13 +195,19 @@
 	s.timers.set(&r.timer, r.wakeAt())
 }
 
-// shardDue hedges a shard that waits for an attempt, or tries it again.
+// shardDue checks on a shard that waits for an attempt, or tries it again.
 func (s *State) shardDue(c *step, r *run, i int) {
 	sh := &r.shards[i]
 	sh.dueAt = model.Never
-	if sh.live > 0 {
-		s.hedge(c, r, i)
+	if sh.live == 0 {
+		s.tryAgain(c, r, i)
+		return
+	}
+	if s.ownerLost(c, r, i) {
 		return
 	}
-	s.tryAgain(c, r, i)
+	if sh.hedgeAt <= c.Now {
+		s.hedge(c, r, i)
+	}
+	sh.dueAt = r.checkAt(c.Now, sh)
 }
