query: never restart an id whose repeat claims to be idempotent

The at-most-once table was only read for non-idempotent requests, so a repeat with the same id and idempotent set ran the request again. The table is now read first for every request; the extended repeat test fails without this. Tests also cover owner checks for routings without owners, and that a stream which delivered everything is not closed.

--- a/pkg/core/query/admit.go
+++ b/pkg/core/query/admit.go
@@ -42,6 +42,11 @@
 		s.refuse(c, e.Token, req.ID, model.Invalid, reason, 0)
 		return
 	}
+	// A repeat that claims to be idempotent must not run again either.
+	if entry := s.once.entries[req.ID]; entry != nil {
+		s.repeat(c, &e, entry)
+		return
+	}
 	issued := int64(0)
 	if !req.Idempotent {
 		var ok bool
--- a/pkg/core/query/once_test.go
+++ b/pkg/core/query/once_test.go
@@ -17,6 +17,7 @@
 	first := h.query(id, once)
 	subs := h.subs()
 	waiting := h.query(id, once)
+	h.query(id, nil)
 	short := h.query(id, func(e *event.QueryArrived) {
 		e.Request.Idempotent = false
 		e.Request.Deadline = h.meta.Now.Add(10 * ms)
--- a/pkg/core/query/policy_test.go
+++ b/pkg/core/query/policy_test.go
@@ -82,6 +82,14 @@
 	if h.s.Counts().Hedges != 0 {
 		t.Errorf("%d hedges", h.s.Counts().Hedges)
 	}
+
+	h.v.policy().Routing = model.RoutingAdaptive
+	h.subs()
+	h.query("adaptive", nil)
+	h.advance(15 * ms)
+	if c := h.s.Counts(); c.Hedges != 2 || c.Retries != 0 {
+		t.Errorf("without owners: %d hedges and %d retries, want 2 and 0", c.Hedges, c.Retries)
+	}
 }
 
 // Guards against a retry storm when every server fails or sheds.
@@ -187,6 +195,9 @@
 	if a := h.answer(tok); !a.Complete || h.s.Counts().Dropped != 1 {
 		t.Errorf("answer %+v", a)
 	}
+	if slices.Contains(h.out.Effects, effect.Effect(effect.CloseExecute{Stream: subs[1].stream})) {
+		t.Error("closed a stream that had delivered everything")
+	}
 	h.freed()
 }
 
--- a/pkg/core/query/repeat.go
+++ b/pkg/core/query/repeat.go
@@ -10,13 +10,9 @@
 // waiterLimit bounds the repeats that wait for one running request.
 const waiterLimit = 16
 
-// mayStart decides whether this daemon may start a non-idempotent request. If
-// not, it has replied, let the request wait for its first run, or forwarded it.
+// mayStart decides whether this daemon may start a non-idempotent request that
+// is not in the table. If not, it has replied or forwarded the request.
 func (s *State) mayStart(c *step, e *event.QueryArrived) (issued int64, ok bool) {
-	if entry := s.once.entries[e.Request.ID]; entry != nil {
-		s.repeat(c, e, entry)
-		return 0, false
-	}
 	id, err := parseRequestID(e.Request.ID)
 	if err != nil {
 		s.refuse(c, e.Token, e.Request.ID, model.Invalid, err.Error(), 0)
