Add the command line for operators and callers

Commands are Actions in one table, so that adding one takes an Action and an entry.

Tests run the program by testscript against the stand-in platform: lost replies, racing roll-outs, an outage, daemons that are behind, stopped or silent.

--- /dev/null
+++ b/pkg/cli/cli_test.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/pistachiousher/pistachiousher/pkg/api"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){name: func() {
+		env := &Env{Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now}
+		os.Exit(int(Run(context.Background(), env, os.Args[1:])))
+	}})
+}
+
+type platformKey struct{}
+
+// Guards against commands that change what they should not, and against exit
+// codes that scripts of operators cannot rely on.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) error {
+			p := platform.New(platform.Options{})
+			server := httptest.NewServer(p.Handler())
+			e.Defer(server.Close)
+			e.Values[platformKey{}] = p
+			e.Setenv("PLATFORM", strings.TrimPrefix(server.URL, "http://"))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits":        cmdExits,
+			"lose-replies": cmdLoseReplies,
+			"outage":       cmdOutage,
+			"daemon":       cmdDaemon,
+		},
+	})
+}
+
+// cmdExits runs the program and checks its exit code: exits CODE ARGS...
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(name, args[1:]...)
+	got := 0
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+func cmdLoseReplies(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	ts.Value(platformKey{}).(*platform.Server).LoseReplies(n)
+}
+
+func cmdOutage(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Value(platformKey{}).(*platform.Server).SetOutage(args[0] == "on")
+}
+
+// cmdDaemon serves a fixed /statusz: daemon VAR BUNDLE CONTROLS SERVING.
+func cmdDaemon(ts *testscript.TestScript, _ bool, args []string) {
+	body := fmt.Sprintf(`{"vm":"entry-1","bundle_version":%s,"controls_version":%s,"serving":%s,"epoch":2}`, args[1], args[2], args[3])
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) }))
+	ts.Defer(server.Close)
+	ts.Setenv(args[0], strings.TrimPrefix(server.URL, "http://"))
+}
+
+// fakeCaller answers lookups with two daemons and queries with errs in turn.
+type fakeCaller struct {
+	errs  []error
+	asked []string
+}
+
+func (f *fakeCaller) Lookup(context.Context, string, model.ServiceName, model.CallerName) (*api.Lookup, error) {
+	return &api.Lookup{Addresses: []api.Address{{Address: "1", RequestIDPrefix: "a"}, {Address: "2", RequestIDPrefix: "b"}}}, nil
+}
+
+func (f *fakeCaller) Query(_ context.Context, address string, _ model.ServiceName, q api.QueryRequest) (*api.Answer, api.Versions, error) {
+	f.asked = append(f.asked, address+" "+string(q.RequestID))
+	return nil, api.Versions{}, f.errs[len(f.asked)-1]
+}
+
+// Guards against a query that is sent again after it may have run, and against
+// exit codes that hide that it may have.
+func TestQueryIsSentAgainOnlyIfNotSent(t *testing.T) {
+	refused := func(kind model.RefusalKind) error { return &api.RefusalError{Refusal: api.Refusal{Kind: kind}} }
+	for _, c := range []struct {
+		errs  []error
+		asked int
+		code  ExitCode
+	}{
+		{[]error{api.ErrUnreachable, api.ErrUnreachable}, 2, ExitNotRun},
+		{[]error{api.ErrUnreachable, refused(model.NotRun)}, 2, ExitNotRun},
+		{[]error{api.ErrUnknownOutcome}, 1, ExitMayHaveRun},
+		{[]error{api.ErrTruncated}, 1, ExitMayHaveRun},
+		{[]error{refused(model.MayHaveRun)}, 1, ExitMayHaveRun},
+		{[]error{refused(model.Invalid)}, 1, ExitUsage},
+	} {
+		f := &fakeCaller{errs: c.errs}
+		a := queryAction{entry: entryFlags{entries: "127.0.0.1:1", service: "s", caller: "c"}, deadline: time.Second}
+		a.request = api.QueryRequest{Caller: "c", DeadlineMS: 1000, TopK: 1}
+		_, err := a.ask(context.Background(), f)
+		if got := explain(err); got.Code != c.code || got.Next == "" || len(f.asked) != c.asked {
+			t.Errorf("%v: asked %v, %+v", c.errs, f.asked, got)
+		}
+		if c.asked == 2 && f.asked[1] != "2 b.1" {
+			t.Errorf("second daemon got %q, want the id of its own range", f.asked[1])
+		}
+	}
+}
--- a/pkg/controls/change.go
+++ b/pkg/controls/change.go
@@ -102,7 +102,7 @@
 		return c, false, nil
 	}
 	if present.Author != ch.Entry.Author && !ch.Force {
-		return nil, false, &ErrConflict{Target: t, Present: present, Wanted: ch.Entry}
+		return nil, false, &ErrConflict{Target: t, Present: present, Wanted: ch.Entry, Remove: true}
 	}
 	return without(c, t, ch.Entry.Since), true, nil
 }
--- a/pkg/controls/errors.go
+++ b/pkg/controls/errors.go
@@ -19,11 +19,17 @@
 type ErrConflict struct {
 	Target  Target
 	Present model.ControlEntry
-	Wanted  model.ControlEntry
+	// Wanted is what the operator asked for. With Remove set that was to end
+	// the present entry, and only its author counts.
+	Wanted model.ControlEntry
+	Remove bool
 }
 
 // Error shows both entries.
 func (e *ErrConflict) Error() string {
+	if e.Remove {
+		return fmt.Sprintf("controls: %s is out by another author: present %s; to be ended by %s", e.Target, describe(e.Present), e.Wanted.Author)
+	}
 	return fmt.Sprintf("controls: %s is already out by another author: present %s; wanted %s",
 		e.Target, describe(e.Present), describe(e.Wanted))
 }
