--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
 
@@ -77,3 +78,16 @@
 		}
 	})
 }
+
+// Guards against an example in the documentation that does not work.
+func TestDocumentedExample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```yaml\n")
+	example, _, found := strings.Cut(rest, "```")
+	if _, err := Parse("docs/settings.md", []byte(example)); err != nil || !found {
+		t.Errorf("got %v, example found %t", err, found)
+	}
+}
