Bound the faults of a document, run the query commands by script

A document from the platform can hold anything and its faults reach the daemons' logs, so at most 200 faults of 400 bytes are kept and the rest is counted. roll-out says when signatures are not checked.

--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -87,6 +88,19 @@
 	}
 }
 
+// Guards against a document from the platform that floods the log.
+func TestParseBoundsFaults(t *testing.T) {
+	many := strings.Repeat("  - {name: "+strings.Repeat("X", 500)+"}\n", 1500)
+	_, err := Parse("b.yaml", []byte("version: 1\nservices: []\nbackend_servers:\n"+many))
+	var faults *yamldoc.Error
+	if !errors.As(err, &faults) || len(faults.Faults) != yamldoc.MaxFaults+1 || len(err.Error()) > 150_000 {
+		t.Fatalf("got %d bytes", len(fmt.Sprint(err)))
+	}
+	if !strings.HasSuffix(err.Error(), ": more: 8799 more faults are not shown") {
+		t.Errorf("ends with %s", err.Error()[len(err.Error())-80:])
+	}
+}
+
 // Guards against signatures that a comment would break or that a changed value
 // would not.
 func TestDigest(t *testing.T) {
--- a/pkg/cli/bundle_rollout.go
+++ b/pkg/cli/bundle_rollout.go
@@ -61,6 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Quorum == 0 {
+		fmt.Fprintln(env.Stderr, "signatures are left to the daemons to check, because -settings is not given")
+	}
 	changed, err := client.RollOut(ctx, request)
 	if err != nil {
 		return nil, err
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/pistachiousher/pistachiousher/pkg/api"
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/standin/platform"
 )
@@ -47,6 +48,7 @@
 			"lose-replies": cmdLoseReplies,
 			"outage":       cmdOutage,
 			"daemon":       cmdDaemon,
+			"entry":        cmdEntry,
 		},
 	})
 }
@@ -86,6 +88,39 @@
 	ts.Setenv(args[0], strings.TrimPrefix(server.URL, "http://"))
 }
 
+// frontend answers every lookup with its own address and every query with the
+// refusal, or without one with a partial answer.
+type frontend struct {
+	address string
+	refusal model.RefusalKind
+}
+
+func (f *frontend) Header() model.Header { return model.Header{BundleVersion: 3, Epoch: 2} }
+
+func (f *frontend) Lookup(context.Context, model.ServiceName, model.CallerName) *effect.ReplyLookup {
+	return &effect.ReplyLookup{Addresses: []effect.LookupAddress{{VM: "entry-1", Address: f.address, RequestIDPrefix: "entry-1.a.1"}}}
+}
+
+func (f *frontend) Query(_ context.Context, r model.Request, _ time.Duration) (*model.Answer, *model.Refusal) {
+	if f.refusal != "" {
+		return nil, &model.Refusal{RequestID: r.ID, Kind: f.refusal, Reason: "test", RetryAfter: 70 * time.Millisecond}
+	}
+	missing := []model.MissingShard{{Shard: "s2", Reason: model.MissingDeadline}}
+	return &model.Answer{RequestID: r.ID, Service: r.Service, Asked: 2, Answered: 1, Missing: missing, Items: []model.Item{{ID: "i"}}}, nil
+}
+
+// cmdEntry serves the caller API: entry VAR [REFUSAL].
+func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
+	f := &frontend{}
+	if len(args) > 1 {
+		f.refusal = model.RefusalKind(args[1])
+	}
+	server := httptest.NewServer(api.NewHandler(f))
+	ts.Defer(server.Close)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	ts.Setenv(args[0], f.address)
+}
+
 // fakeCaller answers lookups with two daemons and queries with errs in turn.
 type fakeCaller struct {
 	errs  []error
--- a/pkg/yamldoc/doc.go
+++ b/pkg/yamldoc/doc.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"unicode/utf8"
 
 	"github.com/goccy/go-yaml"
@@ -16,6 +15,8 @@
 type Doc struct {
 	file   string
 	faults []Fault
+	// dropped counts the faults above MaxFaults.
+	dropped int
 }
 
 // Node is one value of a document with its line.
@@ -85,11 +86,6 @@
 	return n.GetToken().Position.Line
 }
 
-// Fault records a violation of a rule at a line.
-func (d *Doc) Fault(line int, rule, format string, args ...any) {
-	d.faults = append(d.faults, Fault{File: d.file, Line: line, Rule: rule, Message: fmt.Sprintf(format, args...)})
-}
-
 // Line returns the line of the value.
 func (n Node) Line() int { return n.line }
 
--- a/pkg/yamldoc/fault.go
+++ b/pkg/yamldoc/fault.go
@@ -23,6 +23,17 @@
 	RuleAddress      = "address"
 	RuleName         = "name"
 	RuleEmpty        = "empty"
+	RuleMore         = "more"
+)
+
+// Bounds of an Error. Daemons log the faults of documents from the platform,
+// which may hold anything.
+const (
+	// MaxFaults is the number of faults that are kept; the last one then says
+	// how many more there are.
+	MaxFaults = 200
+	// maxMessage is the length of a message in bytes.
+	maxMessage = 400
 )
 
 // Fault is one violation of a rule in a document.
@@ -38,7 +49,7 @@
 	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Rule, f.Message)
 }
 
-// Error holds all faults of a document in order of their lines.
+// Error holds the faults of a document in order of their lines.
 type Error struct{ Faults []Fault }
 
 // Error returns one line per fault.
@@ -57,5 +68,23 @@
 	}
 	faults := slices.Clone(d.faults)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	if d.dropped > 0 {
+		last := Fault{File: d.file, Line: faults[len(faults)-1].Line, Rule: RuleMore}
+		last.Message = fmt.Sprintf("%d more faults are not shown", d.dropped)
+		faults = append(faults, last)
+	}
 	return &Error{Faults: faults}
 }
+
+// Fault records a violation of a rule at a line.
+func (d *Doc) Fault(line int, rule, format string, args ...any) {
+	if len(d.faults) == MaxFaults {
+		d.dropped++
+		return
+	}
+	message := fmt.Sprintf(format, args...)
+	if len(message) > maxMessage {
+		message = strings.ToValidUTF8(message[:maxMessage], "") + "..."
+	}
+	d.faults = append(d.faults, Fault{File: d.file, Line: line, Rule: rule, Message: message})
+}
