--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -105,37 +105,28 @@
 	return true, ""
 }
 
-// Status is a summary for operators.
-type Status struct {
-	Self            model.MemberRef
-	BundleVersion   uint64
-	ControlsVersion uint64
-	Epoch           uint64
-	Serving         bool
-	Reason          string
-	OnPanel         bool
-	Owned           []model.ServerName
-	Queries         int
-	SubRequests     int
-	Leaving         bool
-}
-
-// Status returns the summary as of the last event.
-func (s *State) Status() Status {
-	serving, reason := s.admits(s.meta)
+// Status returns a summary of the state at now.
+func (s *State) Status(now model.Time) model.DaemonStatus {
+	m := s.meta
+	m.Now = now
+	ready, reason := s.admits(m)
 	bundle, controls := s.documents.Versions()
-	return Status{
+	counts := s.query.Counts()
+	return model.DaemonStatus{
 		Self:            s.membership.Self(),
 		BundleVersion:   bundle,
 		ControlsVersion: controls,
 		Epoch:           s.membership.Epoch(),
-		Serving:         serving,
+		Ready:           ready,
 		Reason:          reason,
+		Leaving:         s.stop.phase != notStopping,
+		HasLease:        s.membership.HasLease(now),
 		OnPanel:         s.membership.OnPanel(),
-		Owned:           s.membership.Owned(s.meta.Now),
-		Queries:         s.query.Running(),
+		Owned:           len(s.membership.Owned(now)),
+		Running:         s.query.Running(),
 		SubRequests:     s.slots.Running(),
-		Leaving:         s.stop.phase != notStopping,
+		Hedges:          counts.Hedges,
+		Retries:         counts.Retries,
 	}
 }
 
--- a/pkg/core/network_test.go
+++ b/pkg/core/network_test.go
@@ -31,7 +31,7 @@
 	case effect.CloseExecute:
 		n.closeExecute(e)
 	case effect.SendCancel:
-		ref := n.state.Status().Self
+		ref := n.state.Status(n.clock()).Self
 		n.send(e.Peer, func(p *node) { p.post(event.CancelArrived{From: ref, Attempts: e.Attempts}) }, nil)
 	case effect.SendSubResult:
 		n.sendSubResult(e)
@@ -176,7 +176,7 @@
 
 // openExecute opens a stream: deadlines travel as time left.
 func (n *node) openExecute(e effect.OpenExecute) {
-	ref := n.state.Status().Self
+	ref := n.state.Status(n.clock()).Self
 	left := make([]model.Time, len(e.Subs))
 	for i, s := range e.Subs {
 		left[i] = s.Deadline - n.clock()
@@ -184,6 +184,7 @@
 	header := n.state.Header()
 	n.send(e.Peer, func(p *node) {
 		n.streams[e.Stream] = p
+		p.inbound[event.Stream{From: ref, ID: e.Stream}] = n
 		subs := append([]model.SubRequest(nil), e.Subs...)
 		for i := range subs {
 			subs[i].Deadline = p.clock() + left[i]
@@ -213,7 +214,7 @@
 func (n *node) closeExecute(e effect.CloseExecute) {
 	p := n.streams[e.Stream]
 	delete(n.streams, e.Stream)
-	ref := n.state.Status().Self
+	ref := n.state.Status(n.clock()).Self
 	if p != nil {
 		n.w.at(n.w.delay(), func() { p.post(event.ExecuteGone{Stream: event.Stream{From: ref, ID: e.Stream}}) })
 	}
@@ -221,7 +222,9 @@
 
 // sendSubResult sends a result to the entry daemon, sometimes twice or late.
 func (n *node) sendSubResult(e effect.SendSubResult) {
-	to := n.w.byVM[e.Stream.From.VM]
+	// A connection ends with the process that opened it, even if a new process
+	// on the same VM uses the same numbers.
+	to := n.inbound[e.Stream]
 	if to == nil || to.dead || to.streams[e.Stream.ID] != n {
 		return
 	}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/pkg/core"
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -89,8 +88,8 @@
 // an accepted version counts: one that no majority of the panel knows yet can
 // be lost with the only daemon that read it before a platform outage.
 func (o *oracle) stepped(n *node) {
-	st := n.state.Status()
-	if !st.Serving {
+	st := n.state.Status(n.clock())
+	if !st.Ready {
 		return
 	}
 	if st.BundleVersion < o.highest[n.vm] {
@@ -103,7 +102,7 @@
 
 // panelKnows reports whether a majority of the panel of the platform's epoch
 // is in a state that satisfies know.
-func (o *oracle) panelKnows(know func(core.Status) bool) bool {
+func (o *oracle) panelKnows(know func(model.DaemonStatus) bool) bool {
 	e := o.w.platform.objects[event.DocumentEpoch].doc.Epoch
 	if e == nil {
 		return false
@@ -114,7 +113,7 @@
 		if n == nil || n.dead {
 			continue
 		}
-		if st := n.state.Status(); st.Self == p && st.Epoch == e.Number && know(st) {
+		if st := n.state.Status(n.clock()); st.Self == p && st.Epoch == e.Number && know(st) {
 			count++
 		}
 	}
@@ -123,7 +122,7 @@
 
 // sampleAcceptance notes from when on a majority of the panel knows a version.
 func (o *oracle) sampleAcceptance() {
-	if c := o.w.controls; !o.closed && o.panelKnows(func(s core.Status) bool { return s.ControlsVersion >= c.Version }) {
+	if c := o.w.controls; !o.closed && o.panelKnows(func(s model.DaemonStatus) bool { return s.ControlsVersion >= c.Version }) {
 		o.closed = true
 		for _, t := range c.TakeOuts {
 			o.closedDomain[t.FailureDomain] = o.w.now
@@ -136,7 +135,7 @@
 		if _, ok := o.accepted[v]; ok {
 			continue
 		}
-		if o.panelKnows(func(s core.Status) bool { return s.BundleVersion >= v }) {
+		if o.panelKnows(func(s model.DaemonStatus) bool { return s.BundleVersion >= v }) {
 			o.accepted[v] = o.w.now
 		}
 	}
@@ -221,8 +220,8 @@
 
 // exited checks that a daemon that ends gracefully owes nobody an answer.
 func (o *oracle) exited(n *node) {
-	if st := n.state.Status(); st.Queries > 0 {
-		o.failf("graceful stop: %s exits with %d queries running", n.vm, st.Queries)
+	if st := n.state.Status(n.clock()); st.Running > 0 {
+		o.failf("graceful stop: %s exits with %d queries running", n.vm, st.Running)
 	}
 }
 
--- a/pkg/core/stop.go
+++ b/pkg/core/stop.go
@@ -15,6 +15,9 @@
 	leaveSpread = 2 * time.Second
 	// stopLimit ends a stop that peers or backend servers hold up.
 	stopLimit = 30 * time.Second
+	// pauseLimit is the time without any event after which a process was
+	// probably paused. Heartbeats make events far more often.
+	pauseLimit = 700 * time.Millisecond
 	// stopPoll is how often a stopping daemon looks whether it is done.
 	stopPoll = 20 * time.Millisecond
 )
@@ -39,6 +42,8 @@
 	next  model.Time
 	limit model.Time
 	wake  model.Time
+	// seen is the time of the last event.
+	seen model.Time
 }
 
 // closed reports whether new work from callers is refused.
@@ -50,6 +55,7 @@
 		return
 	}
 	p.phase = announced
+	p.seen = m.Now
 	p.reason = reason
 	p.next = m.Now.Add(query.LookupMaxAge + leaveSpread)
 	p.limit = m.Now.Add(stopLimit)
@@ -68,6 +74,12 @@
 
 // step moves the stop on as far as the state allows.
 func (p *stop) step(s *State, m event.Meta, out *effect.List) {
+	if m.Now.Sub(p.seen) > pauseLimit && p.phase == announced {
+		// Requests that arrived during the pause are still waiting.
+		p.next = max(p.next, m.Now.Add(query.LookupMaxAge))
+		p.wake = p.next
+	}
+	p.seen = m.Now
 	if p.phase == announced && m.Now >= p.next {
 		p.phase = handingOver
 		s.membership.Leave(m, out)
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -30,7 +30,6 @@
 	oracle   *oracle
 	bundle   *model.Bundle
 	controls *model.Controls
-	lookups  uint64
 	trace    []string
 }
 
@@ -53,6 +52,7 @@
 	token     event.Token
 	replies   map[event.Token]func(reply any)
 	streams   map[event.StreamID]*node
+	inbound   map[event.Stream]*node
 	watches   map[event.DocumentKind]bool
 }
 
@@ -139,7 +139,7 @@
 func (w *world) statuses() string {
 	var b strings.Builder
 	for _, n := range w.nodes {
-		fmt.Fprintf(&b, "%s dead=%v paused=%v %+v\n", n.vm, n.dead, n.paused, n.state.Status())
+		fmt.Fprintf(&b, "%s dead=%v paused=%v %+v\n", n.vm, n.dead, n.paused, n.state.Status(n.clock()))
 	}
 	if e := w.platform.objects[event.DocumentEpoch].doc.Epoch; e != nil {
 		fmt.Fprintf(&b, "epoch %d members %v panel %v previous %v\n", e.Number, e.Members, e.Panel, e.PreviousPanel)
@@ -154,6 +154,7 @@
 		rate:    0.995 + w.rng.Float64()*0.01,
 		replies: map[event.Token]func(any){},
 		streams: map[event.StreamID]*node{},
+		inbound: map[event.Stream]*node{},
 		watches: map[event.DocumentKind]bool{},
 		wakeAt:  model.Never,
 	}
--- /dev/null
+++ b/pkg/daemon/settings.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/bundle"
+	"github.com/pistachiousher/pistachiousher/pkg/controls"
+	"github.com/pistachiousher/pistachiousher/pkg/core"
+	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/core/membership"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/runtime"
+	"github.com/pistachiousher/pistachiousher/pkg/settings"
+	"github.com/pistachiousher/pistachiousher/pkg/trace"
+)
+
+// platformBurst is the number of platform calls that a daemon may make at
+// once. A start needs about six.
+const platformBurst = 10
+
+// FromSettings returns the options of a daemon with the given settings. The
+// returned closer ends the files that the settings name; it is never nil.
+func FromSettings(s *settings.Settings) (Options, io.Closer, error) {
+	var files closers
+	o := Options{
+		VM:            s.VM,
+		Region:        s.Region,
+		Listen:        Addresses{Caller: s.Listen.Caller, Peer: s.Listen.Peer, Admin: s.Listen.Admin},
+		Platform:      "http://" + s.Platform.Addresses[0],
+		PlatformRate:  s.Platform.CallsPerSecond,
+		PlatformBurst: platformBurst,
+		NewCore:       newCore(s),
+		Decode:        decoder(s),
+		LogLevel:      s.Log.Level,
+	}
+	if s.Log.File != "" {
+		f, err := os.OpenFile(s.Log.File, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		if err != nil {
+			return o, files, fmt.Errorf("daemon: log file: %w", err)
+		}
+		files = append(files, f)
+		o.LogOutput = f
+	}
+	if s.Trace.File != "" {
+		f, err := os.Create(s.Trace.File)
+		if err != nil {
+			return o, files, fmt.Errorf("daemon: trace file: %w", err)
+		}
+		w := trace.NewWriter(f)
+		files = append(files, w, f)
+		o.Recorder = w
+	}
+	return o, files, nil
+}
+
+// closers closes in order and returns the first error.
+type closers []io.Closer
+
+func (c closers) Close() error {
+	var first error
+	for _, x := range c {
+		if err := x.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// newCore makes the reducer. Advertised addresses default to those listened on.
+func newCore(s *settings.Settings) func(Addresses) (runtime.Core, error) {
+	return func(a Addresses) (runtime.Core, error) {
+		cfg := core.Config{
+			Self: model.MemberRef{
+				VM:          s.VM,
+				Incarnation: membership.NewIncarnation(time.Now().UnixMilli(), rand.Uint64()),
+			},
+			Region:        s.Region,
+			FailureDomain: s.FailureDomain,
+			PeerAddress:   a.Peer,
+			CallerAddress: a.Caller,
+			Seeds:         s.Seeds,
+		}
+		if s.Advertise.Peer != "" {
+			cfg.PeerAddress = s.Advertise.Peer
+		}
+		if s.Advertise.Caller != "" {
+			cfg.CallerAddress = s.Advertise.Caller
+		}
+		return core.New(cfg), nil
+	}
+}
+
+// decoder checks signatures and contents of documents before the reducer sees
+// them, so that write access to the platform alone changes no bundle.
+func decoder(s *settings.Settings) func(event.DocumentKind, []byte) (event.Document, error) {
+	return func(kind event.DocumentKind, raw []byte) (event.Document, error) {
+		d := event.Document{Kind: kind, Raw: raw}
+		var err error
+		switch kind {
+		case event.DocumentBundle:
+			if d.Bundle, err = bundle.Decode(raw, s.Operators.Keys, s.Operators.Quorum); err == nil {
+				d.Version = d.Bundle.Version
+			}
+		case event.DocumentControls:
+			if d.Controls, err = controls.Decode(raw); err == nil {
+				d.Version = d.Controls.Version
+			}
+		default:
+			err = fmt.Errorf("daemon: no decoder for %s", kind)
+		}
+		return d, err
+	}
+}
--- a/pkg/model/status.go
+++ b/pkg/model/status.go
@@ -1,18 +1,26 @@
 package model
 
-// DaemonStatus is what a daemon's reducer says of itself to readiness checks
-// and metrics. Counters count since the start of the process.
+// DaemonStatus is a summary of a daemon's state for readiness checks, metrics
+// and operators.
 type DaemonStatus struct {
+	Self            MemberRef
+	BundleVersion   uint64
+	ControlsVersion uint64
+	Epoch           uint64
 	// Ready means that the daemon takes new work from callers; Reason says
 	// why not.
 	Ready  bool
 	Reason string
+	// Leaving is set from the start of a graceful shutdown.
+	Leaving bool
 	// HasLease, OnPanel and Owned describe its membership.
 	HasLease bool
 	OnPanel  bool
 	Owned    int
-	// Running counts the requests that the daemon runs as entry daemon.
-	Running int
-	Hedges  uint64
-	Retries uint64
+	// Running counts the requests that the daemon runs as entry daemon, and
+	// SubRequests those that it runs or queues as an owner.
+	Running     int
+	SubRequests int
+	Hedges      uint64
+	Retries     uint64
 }
