Refuse lookups without a lease and spread them over the daemons

Cause: a daemon that was cut off answered lookups from old reports, and the order of addresses was fixed per caller, so that a service with few callers loaded few daemons. Change: lookups need the lease; the order is drawn anew for each lookup. Conclusion: core tests and the invariant fuzz test pass.

--- a/pkg/core/query/harness_test.go
+++ b/pkg/core/query/harness_test.go
@@ -23,6 +23,7 @@
 	bundle   *model.Bundle
 	controls *model.Controls
 	refuse   string
+	noLease  bool
 	owners   map[model.ServerName]model.Member
 	reports  map[model.ServerName]model.ServerReport
 	peers    []model.MemberReport
@@ -33,6 +34,7 @@
 func (v *fakeView) Controls() *model.Controls        { return v.controls }
 func (v *fakeView) Epoch() uint64                    { return 3 }
 func (v *fakeView) Admits(event.Meta) (bool, string) { return v.refuse == "", v.refuse }
+func (v *fakeView) HasLease(model.Time) bool         { return !v.noLease }
 func (v *fakeView) Peers() []model.MemberReport      { return v.peers }
 func (v *fakeView) Owner(n model.ServerName) (model.Member, bool) {
 	m, ok := v.owners[n]
--- a/pkg/core/query/lookup.go
+++ b/pkg/core/query/lookup.go
@@ -65,6 +65,10 @@
 	if b == nil {
 		return notRun(c, "no bundle is in effect yet")
 	}
+	// A daemon cut off from the others would name daemons that have left.
+	if !s.view.HasLease(c.Now) {
+		return notRun(c, "no lease: cannot confirm which daemons take work")
+	}
 	svc, ok := b.Service(e.Service)
 	if !ok {
 		return invalid("unknown service " + string(e.Service))
@@ -83,9 +87,11 @@
 	c.out.Add(effect.ReplyLookup{Token: e.Token, Refusal: refusal})
 }
 
-// lookupPeers returns the daemons that take work, by rendezvous hashing.
+// lookupPeers returns the daemons that take work. The order differs from lookup
+// to lookup: a service has few callers, and a fixed order per caller would load
+// few daemons.
 func (s *State) lookupPeers(c *step, caller model.CallerName) []model.MemberReport {
-	hash := xxhash.Sum64String(string(caller))
+	hash := xxhash.Sum64String(string(caller)) ^ c.Rand
 	var peers []model.MemberReport
 	self := s.view.Self()
 	admits, _ := s.view.Admits(c.Meta)
--- a/pkg/core/query/policy_test.go
+++ b/pkg/core/query/policy_test.go
@@ -276,6 +276,11 @@
 	if r = lookup(); len(r.Addresses) != 1 || r.Addresses[0].VM != "vm0" {
 		t.Errorf("lookup %+v", r)
 	}
+	h.v.noLease = true
+	if r = lookup(); r.Refusal == nil || r.Refusal.Kind != model.NotRun {
+		t.Errorf("lookup without a lease %+v", r)
+	}
+	h.v.noLease = false
 	h.v.peers[0].Serving = false
 	if r = lookup(); r.Refusal == nil || r.Refusal.Kind != model.NotRun {
 		t.Errorf("lookup %+v", r)
--- a/pkg/core/query/state.go
+++ b/pkg/core/query/state.go
@@ -25,6 +25,8 @@
 	Epoch() uint64
 	// Admits reports whether this daemon may take new work, and if not, why.
 	Admits(m event.Meta) (bool, string)
+	// HasLease reports whether this daemon can confirm that it is current.
+	HasLease(now model.Time) bool
 	// Owner is the daemon that owns the server now.
 	Owner(model.ServerName) (model.Member, bool)
 	Report(model.ServerName) (model.ServerReport, bool)
--- a/pkg/core/view.go
+++ b/pkg/core/view.go
@@ -37,6 +37,8 @@
 
 func (v view) LeaseUntil(now model.Time) model.Time { return v.s.membership.LeaseUntil(now) }
 
+func (v view) HasLease(now model.Time) bool { return v.s.membership.HasLease(now) }
+
 func (v view) InFlight(name model.ServerName) int { return v.s.slots.InFlight(name) }
 
 // Daemons returns the number of members, at least 1.
