Carry the previous panel's addresses in the epoch

Cause: a daemon that started after its region's whole previous panel had been replaced knew no address of that panel, so the new epoch never became active. Change: the epoch holds these addresses. Found by the invariant fuzz test; it passes now.

--- a/pkg/core/membership/lease.go
+++ b/pkg/core/membership/lease.go
@@ -67,7 +67,7 @@
 		if i := slices.IndexFunc(old, func(o *target) bool { return o.vm == ref.VM }); i >= 0 {
 			t = old[i]
 		}
-		if a := s.address(ref.VM); a != "" {
+		if a := s.panelAddress(ref.VM); a != "" {
 			t.address = a
 		}
 		if t.address != "" {
@@ -76,6 +76,19 @@
 	}
 }
 
+// panelAddress returns the peer address of a VM of the present or the previous
+// panel, empty if it is not known.
+func (s *State) panelAddress(vm model.VM) string {
+	if a := s.address(vm); a != "" {
+		return a
+	}
+	i := vmIndex(s.cur.epoch.PreviousPanel, vm)
+	if i < 0 || i >= len(s.cur.epoch.PreviousAddresses) {
+		return ""
+	}
+	return s.cur.epoch.PreviousAddresses[i]
+}
+
 func (s *State) target(vm model.VM) *target {
 	i := slices.IndexFunc(s.targets, func(t *target) bool { return t.vm == vm })
 	if i < 0 {
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -200,11 +200,12 @@
 func (s *State) nextEpoch(now model.Time, members []model.Member) *model.Epoch {
 	cur := s.cur.epoch
 	next := &model.Epoch{
-		Region:        cur.Region,
-		Number:        cur.Number + 1,
-		Members:       members,
-		PreviousPanel: cur.Panel,
-		Servers:       cur.Servers,
+		Region:            cur.Region,
+		Number:            cur.Number + 1,
+		Members:           members,
+		PreviousPanel:     cur.Panel,
+		PreviousAddresses: s.panelAddresses(),
+		Servers:           cur.Servers,
 	}
 	if b := s.view.Bundle(); b != nil && s.HasLease(now) {
 		next.Servers = homesOf(b)
@@ -219,6 +220,14 @@
 	return next
 }
 
+func (s *State) panelAddresses() []string {
+	addresses := make([]string, len(s.cur.epoch.Panel))
+	for i, ref := range s.cur.epoch.Panel {
+		addresses[i] = s.address(ref.VM)
+	}
+	return addresses
+}
+
 // nextPanel keeps the present panel unless one of its members is unfit or it
 // can grow.
 func (s *State) nextPanel(members []model.Member) []model.MemberRef {
--- a/pkg/model/member.go
+++ b/pkg/model/member.go
@@ -9,8 +9,10 @@
 	Members []Member
 	// Panel grants the leases of this epoch.
 	Panel []MemberRef
-	// PreviousPanel granted the leases of the epoch before.
-	PreviousPanel []MemberRef
+	// PreviousPanel granted the leases of the epoch before. Its daemons may not
+	// be members any more, so their peer addresses are here, by index.
+	PreviousPanel     []MemberRef
+	PreviousAddresses []string
 	// Servers are the backend servers that have an owner in this epoch, by
 	// name. The order of owners uses the failure domain given here and not the
 	// bundle's, so that two daemons with different bundles agree on it.
