Add a cluster of stand-ins and daemons in one process

Demos, benchmarks and end-to-end tests each need the platform, backend servers and daemons with a signed bundle. standin/cluster starts all of it on free loopback ports and can search its documents directly, so that answers are checked independently of the daemons.

--- /dev/null
+++ b/standin/cluster/expect.go
@@ -0,0 +1,104 @@
+package cluster
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/standin/backend"
+)
+
+// Item is a result that an answer must have.
+type Item struct {
+	ID    string
+	Score float64
+}
+
+// generate returns documents whose keys spread evenly over eight hexadecimal
+// digits, so that every shard of a hexadecimal layout gets its part.
+func generate(n int) []backend.Document {
+	docs := backend.Generate(backend.Corpus{Documents: n})
+	step := (uint64(1) << 32) / uint64(max(n, 1))
+	for i := range docs {
+		docs[i].Key = fmt.Sprintf("%08x", uint64(i)*step)
+		docs[i].ID = "doc-" + docs[i].Key
+	}
+	return docs
+}
+
+// Documents returns the documents that the backend servers hold.
+func (c *Cluster) Documents() []backend.Document { return slices.Clone(c.docs) }
+
+// Expect searches the documents of a service directly: every shard of the last
+// layout, or only the one whose range holds key if key is not empty. It
+// computes scores from the documents themselves and shares no code with the
+// backend servers or the daemons.
+func (c *Cluster) Expect(service model.ServiceName, query string, topK int, key string) ([]Item, error) {
+	s, ok := c.Bundle().Service(service)
+	if !ok {
+		return nil, fmt.Errorf("%w: no service %s", ErrOptions, service)
+	}
+	var all []Item
+	for _, shard := range s.Layouts[len(s.Layouts)-1].Shards {
+		if key == "" || shard.Holds(key) {
+			all = append(all, searchShard(c.shardDocuments(shard), query)...)
+		}
+	}
+	slices.SortFunc(all, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	})
+	return all[:min(topK, len(all))], nil
+}
+
+func (c *Cluster) shardDocuments(s model.Shard) []backend.Document {
+	var held []backend.Document
+	for _, d := range c.docs {
+		if s.Holds(d.Key) {
+			held = append(held, d)
+		}
+	}
+	return held
+}
+
+// searchShard scores a document with the sum over the query's words of how
+// often it has the word, weighted by the word's rarity in the shard.
+func searchShard(docs []backend.Document, query string) []Item {
+	scores := make([]float64, len(docs))
+	matched := make([]bool, len(docs))
+	for _, word := range strings.Fields(strings.ToLower(query)) {
+		counts, having := countWord(docs, word)
+		weight := math.Log1p(float64(len(docs)) / float64(1+having))
+		for i, n := range counts {
+			if n > 0 {
+				scores[i] += float64(n) * weight
+				matched[i] = true
+			}
+		}
+	}
+	var items []Item
+	for i, d := range docs {
+		if matched[i] {
+			items = append(items, Item{ID: d.ID, Score: scores[i]})
+		}
+	}
+	return items
+}
+
+// countWord returns how often each document has the word, and how many have it.
+func countWord(docs []backend.Document, word string) (counts []int, having int) {
+	counts = make([]int, len(docs))
+	for i, d := range docs {
+		for _, w := range strings.Fields(strings.ToLower(d.Key + " " + d.Text)) {
+			if w == word {
+				counts[i]++
+			}
+		}
+		if counts[i] > 0 {
+			having++
+		}
+	}
+	return counts, having
+}
