--- a/pkg/core/callers_test.go
+++ b/pkg/core/callers_test.go
@@ -66,6 +66,11 @@
 		if n != nil && n.exited && w.now < c.until {
 			w.oracle.failf("graceful stop: %s is gone while a lookup answer still names it", n.vm)
 		}
+		// Nothing was sent, so the next daemon gets an id of its own range.
+		if len(addresses) > 1 && !req.Idempotent {
+			c.serial++
+			req.ID = model.RequestID(fmt.Sprintf("%s.%d", addresses[1].RequestIDPrefix, c.serial))
+		}
 		c.send(req, addresses[1:], deadline)
 		return
 	}
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -46,6 +46,9 @@
 	nextRefresh model.Time
 	bundle      uint64
 	controls    uint64
+	// outSince is when this daemon learned that its failure domain is taken
+	// out, 0 if it is not.
+	outSince model.Time
 }
 
 // New returns the state before the first event.
@@ -85,6 +88,7 @@
 		return
 	}
 	s.bundle, s.controls = bundle, controls
+	s.noteDomain(m)
 	s.nextRefresh = m.Now.Add(refreshInterval)
 	s.slots.Refresh(m, out)
 }
@@ -97,14 +101,32 @@
 		return false, "stopping"
 	case !s.documents.Ready():
 		return false, "no configuration in force yet"
-	case s.documents.Controls().DomainOut(s.cfg.FailureDomain, m.Wall):
+	case s.domainClosed(m):
 		return false, "failure domain taken out"
 	case !s.membership.HasLease(m.Now):
 		return false, "no lease: cannot confirm that the configuration is current"
+	case !s.membership.Informed():
+		return false, "no reports on backend servers yet"
 	}
 	return true, ""
 }
 
+// domainClosed reports whether this daemon's failure domain has been out for
+// longer than callers may still hold a lookup answer that names it.
+func (s *State) domainClosed(m event.Meta) bool {
+	return s.outSince != 0 && m.Now >= s.outSince.Add(query.LookupMaxAge)
+}
+
+// noteDomain records since when this daemon knows that its domain is out.
+func (s *State) noteDomain(m event.Meta) {
+	switch out := s.documents.Controls().DomainOut(s.cfg.FailureDomain, m.Wall); {
+	case !out:
+		s.outSince = 0
+	case s.outSince == 0:
+		s.outSince = max(m.Now, 1)
+	}
+}
+
 // Status returns a summary of the state at now.
 func (s *State) Status(now model.Time) model.DaemonStatus {
 	m := s.meta
--- a/pkg/core/fakes_test.go
+++ b/pkg/core/fakes_test.go
@@ -112,7 +112,7 @@
 		doc := fmt.Sprintf("%s|%s|%s|%d", sub.RequestID, sub.Shard, sub.Snapshot.Layout, sub.Snapshot.IndexVersion)
 		res.Items = []model.Item{{ID: string(sub.Shard), Score: 1, Doc: []byte(doc)}}
 		res.Count = 1
-		if b.w.rng.IntN(200) == 0 {
+		if b.w.rng.IntN(1000) < b.w.truncatePerMille {
 			res.Items = nil // truncated
 		}
 	case model.OutcomeVersionGone:
--- a/pkg/core/invariant_test.go
+++ b/pkg/core/invariant_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"pgregory.net/rapid"
@@ -99,7 +98,7 @@
 	m.w.oracle.resent[req.ID] = req.Idempotent
 	sent := m.w.now
 	req.Deadline = n.clock().Add(300 * time.Millisecond)
-	tok := n.expect(func(r any) { m.w.oracle.repeated(n, req, r.(effect.ReplyQuery), sent) })
+	tok := n.expect(func(r any) { m.w.oracle.repeated(n, req, r, sent) })
 	n.post(event.QueryArrived{Token: tok, Request: req})
 }
 
--- a/pkg/core/membership/exchange.go
+++ b/pkg/core/membership/exchange.go
@@ -50,6 +50,8 @@
 type exchange struct {
 	next  model.Time
 	count uint64
+	// informed: this daemon has the reports of a peer, or has no peers.
+	informed bool
 	// bursting makes the next exchange go to more peers.
 	bursting bool
 	lastSent model.Time
@@ -74,6 +76,10 @@
 	x.next = min(x.next, max(now, x.lastSent.Add(burstPause)))
 }
 
+// Informed reports whether this daemon knows the backend servers' states from a
+// peer. Before that it cannot choose snapshots and replicas.
+func (s *State) Informed() bool { return s.exchange.informed }
+
 // recent returns the reports that were renewed lately, by VM.
 func (x *exchange) recent(now model.Time) []model.MemberReport {
 	list := make([]model.MemberReport, 0, len(x.members))
@@ -120,7 +126,7 @@
 	return model.MemberReport{
 		Member:   s.member(),
 		Sequence: s.exchange.sequence,
-		Serving:  s.HasLease(s.seen) && !s.leave.started,
+		Serving:  s.HasLease(s.seen) && s.exchange.informed && !s.leave.started,
 	}
 }
 
@@ -154,10 +160,14 @@
 	x.lastSent = m.Now
 	x.next = m.Now.Add(exchangeInterval)
 	s.refreshReports(m.Now)
-	full := x.count%fullEvery == 0
+	full := !x.informed || x.count%fullEvery == 0
 	x.count++
 	servers, members := s.reports(m.Now, full)
-	for _, p := range s.randomPeers(m.Rand, fanout) {
+	peers := s.randomPeers(m.Rand, fanout)
+	if len(peers) == 0 && s.HasLease(m.Now) {
+		x.informed = true
+	}
+	for _, p := range peers {
 		out.Add(effect.SendExchange{
 			Peer: p.VM, Address: p.PeerAddress, Header: s.Header(),
 			Servers: servers, Members: members, Full: full,
@@ -263,6 +273,9 @@
 // ExchangeAnswered takes the reports of a peer.
 func (s *State) ExchangeAnswered(m event.Meta, e event.ExchangeAnswered, _ *effect.List) {
 	s.arrive(m)
+	if len(e.Servers) > 0 {
+		s.exchange.informed = true
+	}
 	s.store(m.Now, e.Servers, e.Members)
 }
 
--- a/pkg/core/membership/ownership.go
+++ b/pkg/core/membership/ownership.go
@@ -118,6 +118,9 @@
 		id := logevent.LeaseLost
 		if has {
 			id = logevent.LeaseGained
+			// The lease is what the others wait for before they name this
+			// daemon to callers.
+			s.exchange.burst(m.Now)
 		}
 		out.Log(id, logevent.Int("epoch", s.Epoch()), logevent.Str("self", s.self.String()))
 	}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -37,6 +37,10 @@
 	refusals map[model.RefusalKind]int
 	reasons  map[string]int
 	missing  map[model.MissingReason]int
+	// layouts and versions say which snapshots were answered from.
+	layouts   map[model.LayoutName]int
+	versions  int
+	lastIndex uint64
 	// lastComplete is when the last complete answer came.
 	lastComplete time.Duration
 	maxGap       time.Duration
@@ -46,7 +50,7 @@
 	return &oracle{w: w, orders: map[string]int{}, runs: map[model.RequestID]int{}, resent: map[model.RequestID]bool{},
 		closedDomain: map[model.FailureDomain]time.Duration{}, closedServer: map[model.ServerName]time.Duration{},
 		accepted: map[uint64]time.Duration{}, highest: map[model.VM]uint64{},
-		refusals: map[model.RefusalKind]int{}, reasons: map[string]int{}, missing: map[model.MissingReason]int{}}
+		refusals: map[model.RefusalKind]int{}, reasons: map[string]int{}, missing: map[model.MissingReason]int{}, layouts: map[model.LayoutName]int{}}
 }
 
 func (o *oracle) failf(format string, args ...any) {
@@ -167,6 +171,11 @@
 
 func (o *oracle) checkAnswer(n *node, req model.Request, a *model.Answer, sentAt time.Duration) {
 	o.answers++
+	o.layouts[a.Snapshot.Layout]++
+	if a.Snapshot.IndexVersion > o.lastIndex {
+		o.versions++
+		o.lastIndex = a.Snapshot.IndexVersion
+	}
 	if a.RequestID != req.ID {
 		o.failf("own answer: %s got the answer to %s", req.ID, a.RequestID)
 	}
@@ -227,7 +236,8 @@
 
 // repeated checks the reply to a request that was sent before. Such a request
 // may be refused in more ways, but what is said must be true all the same.
-func (o *oracle) repeated(n *node, req model.Request, r effect.ReplyQuery, sentAt time.Duration) {
+func (o *oracle) repeated(n *node, req model.Request, reply any, sentAt time.Duration) {
+	r := reply.(effect.ReplyQuery)
 	if r.Refusal != nil {
 		if r.Refusal.Kind == model.NotRun && !req.Idempotent && o.runs[req.ID] > 0 {
 			o.failf("not run: repeat of %s at %s was refused as not run (%s) but it ran", req.ID, n.vm, r.Refusal.Reason)
--- a/pkg/core/query/lookup.go
+++ b/pkg/core/query/lookup.go
@@ -15,7 +15,7 @@
 
 const (
 	// LookupMaxAge is how long a caller may use a lookup answer.
-	LookupMaxAge = 2 * time.Second
+	LookupMaxAge = 1500 * time.Millisecond
 	// maxLookupAddresses bounds a lookup answer.
 	maxLookupAddresses = 8
 )
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -27,10 +27,12 @@
 	cuts     map[[2]model.VM]bool
 	lossPct  int
 	slowPct  int
-	oracle   *oracle
-	bundle   *model.Bundle
-	controls *model.Controls
-	trace    []string
+	// truncatePerMille of the answers of backend servers lack their items.
+	truncatePerMille int
+	oracle           *oracle
+	bundle           *model.Bundle
+	controls         *model.Controls
+	trace            []string
 }
 
 // node is one incarnation of a daemon.
@@ -88,6 +90,8 @@
 		cuts:     map[[2]model.VM]bool{},
 		bundle:   b,
 		controls: &model.Controls{Version: 1},
+
+		truncatePerMille: 5,
 	}
 	w.oracle = newOracle(w)
 	w.platform = newFakePlatform(w)
