membership: a leave always ends, and a lost panel is replaced by live daemons

Cause: the fuzz test found two states that no daemon left: a leaving daemon without any next owner created its handover again in each step and never resigned, and an epoch written after the loss of a panel named leaving daemons as the new panel. Change: a handover that was given up counts as released; the writer leaves out daemons that said they leave and prefers itself for the panel.

--- a/pkg/core/membership/leave.go
+++ b/pkg/core/membership/leave.go
@@ -189,7 +189,10 @@
 	return order[i], true
 }
 
+// endPass ends a handover, accepted or given up. This daemon does not act for
+// the server in that epoch again.
 func (s *State) endPass(name model.ServerName) {
+	s.passes[name].from.released[name] = true
 	delete(s.passes, name)
 	s.logged.dirty = true
 }
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -228,6 +228,10 @@
 		return s.vms.live(ref.VM) && slices.ContainsFunc(fit, func(m model.Member) bool { return m.MemberRef == ref })
 	}
 	var keep []model.MemberRef
+	if s.panelLost() && isFit(s.self) && !s.OnPanel() {
+		// The others may be gone as well.
+		keep = append(keep, s.self)
+	}
 	for _, ref := range s.cur.epoch.Panel {
 		if isFit(ref) {
 			keep = append(keep, ref)
@@ -238,7 +242,7 @@
 		// An even panel bears no more losses than one with a member less.
 		chosen = s.cfg.Panel(fit, s.vms.live, keep, len(chosen)-1)
 	}
-	if len(keep) == len(s.cur.epoch.Panel) && len(chosen) <= len(keep) {
+	if slices.Equal(keep, s.cur.epoch.Panel) && len(chosen) <= len(keep) {
 		return s.cur.epoch.Panel
 	}
 	return chosen
@@ -280,7 +284,7 @@
 	}
 	for _, m := range s.cur.epoch.Members {
 		i := vmIndex(s.cur.epoch.Panel, m.VM)
-		if s.cur.fenced(m.MemberRef) || i >= 0 && s.cur.lost&(1<<i) != 0 {
+		if s.cur.fenced(m.MemberRef) || s.isLeaving(m.MemberRef) || i >= 0 && s.cur.lost&(1<<i) != 0 {
 			continue
 		}
 		members = addMember(members, m)
