--- a/pkg/runtime/loop_test.go
+++ b/pkg/runtime/loop_test.go
@@ -29,14 +29,16 @@
 		}
 	}
 	start := time.Now()
-	answer, refusal := f.Query(context.Background(), model.Request{ID: "i"}, time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	answer, refusal := f.Query(ctx, model.Request{ID: "i"}, time.Second)
 	if answer != nil || refusal == nil || refusal.Kind != model.NotRun || refusal.RetryAfter <= 0 {
 		t.Fatalf("answer %v, refusal %+v; want not_run", answer, refusal)
 	}
 	if took := time.Since(start); took > 500*time.Millisecond {
 		t.Errorf("the refusal took %v", took)
 	}
-	if l := f.Lookup(context.Background(), "s", "c"); l == nil || l.Refusal == nil {
+	if l := f.Lookup(ctx, "s", "c"); l == nil || l.Refusal == nil {
 		t.Error("lookup was not refused")
 	}
 	if len(f.pending.waits) != 0 {
