--- a/pkg/daemon/actors.go
+++ b/pkg/daemon/actors.go
@@ -100,8 +100,8 @@
 func (d *daemon) addSignals(ctx context.Context, g *run.Group) {
 	signals := make(chan os.Signal, 2)
 	done := make(chan struct{})
+	signal.Notify(signals, stopSignals...)
 	g.Add(func() error {
-		signal.Notify(signals, stopSignals...)
 		defer signal.Stop(signals)
 		return d.awaitStop(ctx, signals, done)
 	}, func(error) { close(done) })
