Send buffered results when the loop ends, state versions in all responses

Responses of the mux itself, such as 404, lacked the version headers. The step time metric no longer includes trace recording.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -165,3 +165,16 @@
 		}
 	}
 }
+
+// Guards against responses that do not state the versions in effect, also those
+// that no handler wrote.
+func TestEveryResponseStatesVersions(t *testing.T) {
+	h := NewHandler(new(fakeFront))
+	for _, path := range []string{"/nothing", "/v1/lookup", "/v1/lookup?service=s&caller=c"} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+		if w.Header().Get(HeaderBundleVersion) != "3" || w.Header().Get(HeaderEpoch) != "4" {
+			t.Errorf("%s: status %d with headers %v", path, w.Code, w.Header())
+		}
+	}
+}
--- a/pkg/api/handler.go
+++ b/pkg/api/handler.go
@@ -33,7 +33,18 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/lookup", h.lookup)
 	mux.HandleFunc("POST /v1/services/{service}/query", h.query)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Also the mux's own responses, such as 404, state the versions.
+		h.stateVersions(w)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// stateVersions sets the headers that every response carries.
+func (h *handler) stateVersions(w http.ResponseWriter) {
+	header := h.front.Header()
+	w.Header().Set(HeaderBundleVersion, strconv.FormatUint(header.BundleVersion, 10))
+	w.Header().Set(HeaderEpoch, strconv.FormatUint(header.Epoch, 10))
 }
 
 func (h *handler) lookup(w http.ResponseWriter, r *http.Request) {
@@ -119,11 +130,10 @@
 }
 
 func (h *handler) write(w http.ResponseWriter, status int, body []byte) {
-	header := h.front.Header()
+	// Once more, since the versions may have changed while the request ran.
+	h.stateVersions(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Header().Set(HeaderBundleVersion, strconv.FormatUint(header.BundleVersion, 10))
-	w.Header().Set(HeaderEpoch, strconv.FormatUint(header.Epoch, 10))
 	w.WriteHeader(status)
 	// A failed write means that the caller is gone.
 	_, _ = w.Write(body)
--- a/pkg/logevent/runtime.go
+++ b/pkg/logevent/runtime.go
@@ -9,7 +9,6 @@
 	RuntimeLateReply      ID = 1402
 	RuntimeDuplicate      ID = 1403
 	RuntimeExit           ID = 1404
-	RuntimeRecordFailed   ID = 1405
 )
 
 var runtimeEvents = []Def{
@@ -18,5 +17,4 @@
 	{RuntimeLateReply, "runtime_late_reply", log.DebugLevel, "A reply came for a request whose caller or peer is gone."},
 	{RuntimeDuplicate, "runtime_duplicate", log.WarnLevel, "An Execute stream or an attempt has a number that is in use; it was not started again."},
 	{RuntimeExit, "runtime_exit", log.InfoLevel, "The event loop ended."},
-	{RuntimeRecordFailed, "runtime_record_failed", log.ErrorLevel, "The trace of events could not be written; recording stopped."},
 }
--- a/pkg/runtime/loop.go
+++ b/pkg/runtime/loop.go
@@ -173,11 +173,12 @@
 	e.Wall = start.UnixMilli()
 	e.Rand = rand.Uint64()
 	effects := l.core.Step(e)
+	took := time.Since(start)
 	if l.cfg.Recorder != nil {
 		l.cfg.Recorder.Record(e, effects)
 	}
 	l.publish()
-	l.cfg.Observer.Step(body, time.Since(start), len(l.events))
+	l.cfg.Observer.Step(body, took, len(l.events))
 	for _, eff := range effects {
 		l.perform(eff)
 	}
--- a/pkg/runtime/loop_test.go
+++ b/pkg/runtime/loop_test.go
@@ -299,3 +299,73 @@
 	cancel()
 	<-done
 }
+
+// Guards against a graceful shutdown that loses results the reducer had
+// delivered: all must be sent although the loop has ended.
+func TestStopSendsBufferedResults(t *testing.T) {
+	const subs = 50
+	f := newFixture(t, 0)
+	f.core.react = func(e event.Event) []effect.Effect {
+		b, ok := e.Body.(event.ExecuteArrived)
+		if !ok {
+			return nil
+		}
+		var out []effect.Effect
+		for i := range b.Subs {
+			out = append(out, effect.SendSubResult{Stream: b.Stream, Last: i == len(b.Subs)-1})
+		}
+		return append(out, effect.Exit{Reason: "test"})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(context.Background())
+	}()
+	sent := 0
+	err := f.Execute(context.Background(), peer.Execute{Subs: make([]model.SubRequest, subs), Left: time.Second}, func(*model.SubResult) error {
+		<-done
+		sent++
+		return nil
+	})
+	if err != nil || sent != subs {
+		t.Errorf("sent %d of %d results, %v", sent, subs, err)
+	}
+}
+
+// BenchmarkQuery measures the loop's own cost of a request: two channel
+// passages, the clock, the reply by token.
+func BenchmarkQuery(b *testing.B) {
+	core := &benchCore{}
+	l := New(Config{Core: core})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(context.Background())
+	}()
+	b.ReportAllocs()
+	for b.Loop() {
+		if a, _ := l.Query(context.Background(), model.Request{}, time.Second); a == nil {
+			b.Fatal("no answer")
+		}
+	}
+	l.Stop("end")
+	<-done
+}
+
+// benchCore answers at once and keeps nothing.
+type benchCore struct{ out []effect.Effect }
+
+func (c *benchCore) Step(e event.Event) []effect.Effect {
+	c.out = c.out[:0]
+	switch b := e.Body.(type) {
+	case event.QueryArrived:
+		c.out = append(c.out, effect.ReplyQuery{Token: b.Token, Answer: &model.Answer{}})
+	case event.StopRequested:
+		c.out = append(c.out, effect.Exit{})
+	}
+	return c.out
+}
+
+func (c *benchCore) NextWake() model.Time { return model.Never }
+
+func (c *benchCore) Header() model.Header { return model.Header{} }
--- a/pkg/runtime/streams.go
+++ b/pkg/runtime/streams.go
@@ -123,6 +123,24 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-l.ctx.Done():
+			return sendBuffered(st, send)
+		}
+	}
+}
+
+// sendBuffered sends what the reducer delivered before the loop ended, so that
+// a graceful shutdown loses no result.
+func sendBuffered(st *stream, send func(*model.SubResult) error) error {
+	for {
+		select {
+		case r := <-st.results:
+			if err := send(&r.Result); err != nil {
+				return err
+			}
+			if r.Last {
+				return nil
+			}
+		default:
 			return errStopped
 		}
 	}
