Name attempts towards servers by their entry daemon and pass on draining

Cause: two entry daemons number their attempts alike, so a response for one could pass for that of the other; a server's 503 did not close the drain gate, because an outcome that claims that nothing was sent would have been untrue. Change: attempt_id is <vm>.<incarnation>.<n>; BackendAnswered carries draining. Conclusion: the new case of TestResponses fails without the check.

--- a/pkg/backend/body.go
+++ b/pkg/backend/body.go
@@ -23,7 +23,7 @@
 
 // searchBody is the body of POST /v1/search without deadline_ms.
 type searchBody struct {
-	AttemptID    model.AttemptID   `json:"attempt_id"`
+	AttemptID    string            `json:"attempt_id"`
 	RequestID    model.RequestID   `json:"request_id"`
 	Service      model.ServiceName `json:"service"`
 	Layout       model.LayoutName  `json:"layout"`
@@ -47,10 +47,15 @@
 	closed   bool
 }
 
+// attemptID names an attempt among those of all daemons: each numbers its own.
+func attemptID(from model.MemberRef, a model.AttemptID) string {
+	return fmt.Sprintf("%s.%d", from, a)
+}
+
 // newBody encodes the sub-request.
-func newBody(sub *model.SubRequest, deadline time.Time) (*lateBody, error) {
+func newBody(id string, sub *model.SubRequest, deadline time.Time) (*lateBody, error) {
 	encoded, err := json.Marshal(searchBody{
-		AttemptID:    sub.Attempt,
+		AttemptID:    id,
 		RequestID:    sub.RequestID,
 		Service:      sub.Service,
 		Layout:       sub.Snapshot.Layout,
--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -19,7 +19,8 @@
 		want   model.Outcome
 	}{
 		"good":           {200, goodBody, model.OutcomeOK},
-		"other attempt":  {200, strings.Replace(goodBody, `"attempt_id":7`, `"attempt_id":8`, 1), model.OutcomeFailed},
+		"other attempt":  {200, strings.Replace(goodBody, `vm1.a.7`, `vm1.a.8`, 1), model.OutcomeFailed},
+		"other daemon":   {200, strings.Replace(goodBody, `vm1.a.7`, `vm2.a.7`, 1), model.OutcomeFailed},
 		"other shard":    {200, strings.Replace(goodBody, `"s1"`, `"s2"`, 1), model.OutcomeFailed},
 		"other snapshot": {200, strings.Replace(goodBody, `"index_version":3`, `"index_version":4`, 1), model.OutcomeFailed},
 		"not JSON":       {200, "<html>", model.OutcomeFailed},
@@ -53,7 +54,7 @@
 // Guards against the server getting more time than is left: time spent before
 // the send must be taken off deadline_ms.
 func TestDeadlineIsTakenAtSend(t *testing.T) {
-	body, err := newBody(&testSub, time.Now().Add(200*time.Millisecond))
+	body, err := newBody("vm1.a.7", &testSub, time.Now().Add(200*time.Millisecond))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/backend/replay_test.go
+++ b/pkg/backend/replay_test.go
@@ -96,7 +96,10 @@
 	Query:     "kutija",
 }
 
-const goodBody = `{"attempt_id":7,"layout":"l1","shard":"s1","index_version":3,"count":1,"load":2,"items":[{"id":"a","score":0.5,"doc":{"x" : 1}}]}`
+// entryDaemon sends testSub.
+var entryDaemon = model.MemberRef{VM: "vm1", Incarnation: 10}
+
+const goodBody = `{"attempt_id":"vm1.a.7","layout":"l1","shard":"s1","index_version":3,"count":1,"load":2,"items":[{"id":"a","score":0.5,"doc":{"x" : 1}}]}`
 
 func writeReply(conn net.Conn, status int, body string) bool {
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
@@ -105,7 +108,7 @@
 
 func search(t *testing.T, c *Client, address string, timeout time.Duration) Reply {
 	t.Helper()
-	return c.Search(context.Background(), address, &testSub, time.Now().Add(timeout))
+	return c.Search(context.Background(), address, entryDaemon, &testSub, time.Now().Add(timeout))
 }
 
 // Guards against a non-idempotent request running twice: net/http may repeat a
@@ -249,7 +252,7 @@
 		waitFor(t, func() bool { return s.attempts.Load() == 1 })
 		cancel()
 	}()
-	r := c.Search(ctx, s.address, &testSub, time.Now().Add(5*time.Second))
+	r := c.Search(ctx, s.address, entryDaemon, &testSub, time.Now().Add(5*time.Second))
 	if r.Result.Outcome != model.OutcomeCanceled {
 		t.Errorf("outcome %v (%v), want canceled", r.Result.Outcome, r.Err)
 	}
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -19,6 +19,8 @@
 	// Cold and Load are the server's own words, given with OutcomeOK.
 	Cold bool
 	Load int
+	// Draining is set when the server refused the search because it drains.
+	Draining bool
 	// Err explains an outcome other than OutcomeOK.
 	Err error
 }
@@ -33,7 +35,7 @@
 }
 
 type resultBody struct {
-	AttemptID    model.AttemptID  `json:"attempt_id"`
+	AttemptID    string           `json:"attempt_id"`
 	Layout       model.LayoutName `json:"layout"`
 	Shard        model.ShardName  `json:"shard"`
 	IndexVersion uint64           `json:"index_version"`
@@ -47,14 +49,14 @@
 	Versions []uint64 `json:"versions"`
 }
 
-// Search runs the sub-request at its server, which gets the time left until the
+// Search runs a sub-request of the entry daemon from at its server, which gets the time left until the
 // deadline. It sends at most once and returns when the outcome is known, the
 // deadline has passed or ctx is canceled.
-func (c *Client) Search(ctx context.Context, address string, sub *model.SubRequest, deadline time.Time) Reply {
+func (c *Client) Search(ctx context.Context, address string, from model.MemberRef, sub *model.SubRequest, deadline time.Time) Reply {
 	start := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	reply := c.search(ctx, address, sub, deadline)
+	reply := c.search(ctx, address, attemptID(from, sub.Attempt), sub, deadline)
 	r := &reply.Result
 	r.Attempt = sub.Attempt
 	r.Shard = sub.Shard
@@ -64,8 +66,8 @@
 	return reply
 }
 
-func (c *Client) search(ctx context.Context, address string, sub *model.SubRequest, deadline time.Time) Reply {
-	body, err := newBody(sub, deadline)
+func (c *Client) search(ctx context.Context, address, id string, sub *model.SubRequest, deadline time.Time) Reply {
+	body, err := newBody(id, sub, deadline)
 	if err != nil {
 		return failure(model.OutcomeUnreachable, err)
 	}
@@ -84,7 +86,7 @@
 		return sendFailure(ctx, trace.abandon(), err)
 	}
 	defer resp.Body.Close()
-	return readReply(ctx, sub, resp)
+	return readReply(ctx, id, sub, resp)
 }
 
 func failure(outcome model.Outcome, err error) Reply {
@@ -120,14 +122,14 @@
 
 // readReply translates a response. A broken or foreign body may belong to a
 // request that ran.
-func readReply(ctx context.Context, sub *model.SubRequest, resp *http.Response) Reply {
+func readReply(ctx context.Context, id string, sub *model.SubRequest, resp *http.Response) Reply {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
 		return failure(interrupted(ctx, err), err)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return readResult(sub, body)
+		return readResult(id, sub, body)
 	case http.StatusConflict:
 		return readVersionGone(body)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -136,14 +138,14 @@
 	return failure(model.OutcomeFailed, fmt.Errorf("backend: status %d", resp.StatusCode))
 }
 
-func readResult(sub *model.SubRequest, body []byte) Reply {
+func readResult(id string, sub *model.SubRequest, body []byte) Reply {
 	var in resultBody
 	if err := json.Unmarshal(body, &in); err != nil {
 		return failure(model.OutcomeFailed, fmt.Errorf("backend: decode response: %w", err))
 	}
 	snapshot := model.Snapshot{Layout: in.Layout, IndexVersion: in.IndexVersion}
-	if in.AttemptID != sub.Attempt || in.Shard != sub.Shard || snapshot != sub.Snapshot {
-		return failure(model.OutcomeFailed, fmt.Errorf("%w: attempt %d shard %s snapshot %v", ErrMismatch, in.AttemptID, in.Shard, snapshot))
+	if in.AttemptID != id || in.Shard != sub.Shard || snapshot != sub.Snapshot {
+		return failure(model.OutcomeFailed, fmt.Errorf("%w: attempt %s shard %s snapshot %v", ErrMismatch, in.AttemptID, in.Shard, snapshot))
 	}
 	items := make([]model.Item, len(in.Items))
 	for i, item := range in.Items {
@@ -170,5 +172,9 @@
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		result.RetryAfter = time.Duration(seconds) * time.Second
 	}
-	return Reply{Result: result, Err: fmt.Errorf("backend: status %d", resp.StatusCode)}
+	return Reply{
+		Result:   result,
+		Draining: resp.StatusCode == http.StatusServiceUnavailable,
+		Err:      fmt.Errorf("backend: status %d", resp.StatusCode),
+	}
 }
--- a/pkg/core/event/event.go
+++ b/pkg/core/event/event.go
@@ -143,6 +143,9 @@
 		Result model.SubResult
 		// Cold is the server's own word that its caches are cold.
 		Cold bool
+		// Draining means that the server refused the request, which reached it,
+		// because it drains. The outcome is then OutcomeShed.
+		Draining bool
 		// Load is the number of requests that the server says it runs.
 		Load int
 	}
--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -68,16 +68,15 @@
 	if took == 0 {
 		took = m.Now.Sub(t.sent)
 	}
+	if e.Draining {
+		s.learnDraining(m, v, e.Cold, out)
+		return
+	}
 	switch e.Result.Outcome {
 	case model.OutcomeOK:
 		s.learnGood(m, v, took, e.Cold, out)
 	case model.OutcomeShed:
 		s.learnShed(m, v, e.Cold, out)
-	case model.OutcomeDrained:
-		s.learnAnswer(m, v, e.Cold, out)
-		if v.gate.refusedWork(m.Now) {
-			s.closeGate(m, v, "server", out)
-		}
 	case model.OutcomeVersionGone:
 		s.learnAnswer(m, v, e.Cold, out)
 		s.versionGone(m, t, out)
@@ -93,6 +92,14 @@
 	}
 }
 
+// learnDraining closes the gate at the server's own word.
+func (s *State) learnDraining(m event.Meta, v *server, cold bool, out *effect.List) {
+	s.learnAnswer(m, v, cold, out)
+	if v.gate.refusedWork(m.Now) {
+		s.closeGate(m, v, "server", out)
+	}
+}
+
 // learnAnswer notes any answer of the server itself. The server's word that it
 // is cold restarts the ramp when it is new.
 func (s *State) learnAnswer(m event.Meta, v *server, cold bool, out *effect.List) {
--- a/pkg/core/slots/world_test.go
+++ b/pkg/core/slots/world_test.go
@@ -198,10 +198,15 @@
 	w.t.Helper()
 	c := w.calls[i]
 	w.calls = append(w.calls[:i:i], w.calls[i+1:]...)
-	w.answered[attemptKey{c.from, c.sub.Attempt}] = outcome
 	r := model.SubResult{Attempt: c.sub.Attempt, Shard: c.sub.Shard, Server: c.sub.Server, Snapshot: c.sub.Snapshot, Outcome: outcome}
+	// A server that drains says so in an answer, so the request reached it.
+	draining := outcome == model.OutcomeDrained
+	if draining {
+		r.Outcome = model.OutcomeShed
+	}
+	w.answered[attemptKey{c.from, c.sub.Attempt}] = r.Outcome
 	w.step(func(m event.Meta, out *effect.List) {
-		w.state.BackendAnswered(m, event.BackendAnswered{From: c.from, Result: r, Cold: cold}, out)
+		w.state.BackendAnswered(m, event.BackendAnswered{From: c.from, Result: r, Cold: cold, Draining: draining}, out)
 	})
 }
 
--- a/pkg/runtime/backends.go
+++ b/pkg/runtime/backends.go
@@ -13,7 +13,7 @@
 
 // Backends calls backend servers; *backend.Client implements it.
 type Backends interface {
-	Search(ctx context.Context, address string, sub *model.SubRequest, deadline time.Time) backend.Reply
+	Search(ctx context.Context, address string, from model.MemberRef, sub *model.SubRequest, deadline time.Time) backend.Reply
 	Status(ctx context.Context, server model.ServerName, address string) (backend.Status, error)
 	Warm(server model.ServerName, address string, count int)
 }
@@ -40,10 +40,16 @@
 	}
 	l.start(func(context.Context) {
 		defer cancel()
-		reply := l.cfg.Backends.Search(ctx, e.Address, &e.Sub, l.clock.wall(e.Deadline))
+		reply := l.cfg.Backends.Search(ctx, e.Address, e.From, &e.Sub, l.clock.wall(e.Deadline))
 		l.calls.remove(key)
 		l.cfg.Observer.SubResult(&reply.Result)
-		l.post(event.BackendAnswered{From: e.From, Result: reply.Result, Cold: reply.Cold, Load: reply.Load})
+		l.post(event.BackendAnswered{
+			From:     e.From,
+			Result:   reply.Result,
+			Cold:     reply.Cold,
+			Draining: reply.Draining,
+			Load:     reply.Load,
+		})
 	})
 }
 
--- a/pkg/runtime/fake_test.go
+++ b/pkg/runtime/fake_test.go
@@ -114,7 +114,7 @@
 	warmed chan int
 }
 
-func (b *fakeBackends) Search(ctx context.Context, _ string, sub *model.SubRequest, _ time.Time) backend.Reply {
+func (b *fakeBackends) Search(ctx context.Context, _ string, _ model.MemberRef, sub *model.SubRequest, _ time.Time) backend.Reply {
 	r := b.search(ctx, sub)
 	r.Result.Attempt = sub.Attempt
 	return r
