--- a/pkg/core/callers_test.go
+++ b/pkg/core/callers_test.go
@@ -164,7 +164,7 @@
 	w.lossPct = 0
 	w.platform.down, w.platform.stale, w.platform.loseReply = false, false, false
 	for _, b := range w.sortedBackends() {
-		b.frozen = false
+		b.frozen, b.draining = false, false
 	}
 	for i, vm := range vmNames {
 		n := w.byVM[vm]
--- a/pkg/core/fakes_test.go
+++ b/pkg/core/fakes_test.go
@@ -21,8 +21,11 @@
 	coldLeft int
 	// coldTold is when an answer first told a daemon that the caches are cold.
 	coldTold time.Duration
-	frozen   bool
-	running  map[runKey]*run
+	// draining: the server refuses new work, drainedAt says since when.
+	draining  bool
+	drainedAt time.Duration
+	frozen    bool
+	running   map[runKey]*run
 }
 
 type runKey struct {
@@ -76,6 +79,11 @@
 			b.finish(key, r, model.OutcomeTimeout)
 			return
 		}
+		if b.draining {
+			w.oracle.refusedByDraining(b, n)
+			b.finish(key, r, model.OutcomeShed)
+			return
+		}
 		b.running[key] = r
 		w.oracle.ran(b, n, c, sent)
 		took := 4*time.Millisecond + time.Duration(w.rng.Int64N(int64(4*time.Millisecond)))
@@ -124,7 +132,8 @@
 		if cold && b.coldTold == 0 {
 			b.coldTold = b.w.now
 		}
-		r.node.post(event.BackendAnswered{From: r.call.From, Result: res, Cold: cold, Load: len(b.running)})
+		r.node.post(event.BackendAnswered{From: r.call.From, Result: res, Cold: cold,
+			Draining: o == model.OutcomeShed, Load: len(b.running)})
 	})
 }
 
@@ -159,9 +168,9 @@
 		}
 	}
 	// The status lags: it was true when the poll was sent.
-	cold, load := b.coldLeft > 0, len(b.running)
+	cold, load, draining := b.coldLeft > 0, len(b.running), b.draining
 	b.w.at(b.w.delay(), func() {
-		n.post(event.BackendStatus{Server: b.def.Name, Cold: cold, Load: load, Serves: serves})
+		n.post(event.BackendStatus{Server: b.def.Name, Draining: draining, Cold: cold, Load: load, Serves: serves})
 	})
 }
 
--- a/pkg/core/invariant_test.go
+++ b/pkg/core/invariant_test.go
@@ -238,6 +238,13 @@
 	m.w.notef("frozen %s %v", b.def.Name, b.frozen)
 }
 
+// Drain makes a server drain by itself, or come back.
+func (m *machine) Drain(t *rapid.T) {
+	b := m.backend(t)
+	b.draining, b.drainedAt = !b.draining, m.w.now
+	m.w.notef("draining %s %v", b.def.Name, b.draining)
+}
+
 func (m *machine) Stop(t *rapid.T) {
 	n := m.node(t)
 	if n != nil && !n.dead && !n.paused {
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -37,6 +37,8 @@
 	refusals map[model.RefusalKind]int
 	reasons  map[string]int
 	missing  map[model.MissingReason]int
+	// drainRefusals counts what draining servers refused.
+	drainRefusals int
 	// layouts and versions say which snapshots were answered from.
 	layouts   map[model.LayoutName]int
 	versions  int
@@ -251,6 +253,14 @@
 	o.checkAnswer(n, req, r.Answer, sentAt)
 }
 
+// refusedByDraining is called by a server that refuses work because it drains.
+func (o *oracle) refusedByDraining(b *fakeBackend, n *node) {
+	o.drainRefusals++
+	if o.w.now > b.drainedAt+settleTime && o.w.now > n.resumedAt+settleTime {
+		o.failf("drain: %s got new work from %s %v after it began to drain", b.def.Name, n.vm, o.w.now-b.drainedAt)
+	}
+}
+
 // controlsChanged forgets the closures of the controls before.
 func (o *oracle) controlsChanged() {
 	o.closed = false
--- a/pkg/core/points_test.go
+++ b/pkg/core/points_test.go
@@ -218,7 +218,17 @@
 		s.setControls(model.Controls{})
 		s.load(time.Second)
 	}
+	for _, name := range []model.ServerName{"s2", "s1"} {
+		b := s.backends[name]
+		b.draining, b.drainedAt = true, s.now
+		s.load(5 * time.Second)
+		b.draining = false
+		s.load(6 * time.Second)
+	}
 	s.finish(s.oracle.answers * 97 / 100)
+	if s.oracle.drainRefusals == 0 {
+		t.Fatal("no draining server refused anything: the scenario is too easy")
+	}
 }
 
 // Guards against requests that a planned stop cuts: all daemons are replaced
