--- a/pkg/core/membership/panel.go
+++ b/pkg/core/membership/panel.go
@@ -21,7 +21,7 @@
 	member model.Member
 	// until is the end of the grant on the panel member's clock.
 	until model.Time
-	// seen is when it last sent a heartbeat, 0 if never.
+	// seen is when it last sent a heartbeat, granted or not, 0 if never.
 	seen     model.Time
 	resigned bool
 }
@@ -98,6 +98,12 @@
 	return wake
 }
 
+// heard reports whether the incarnation sent a heartbeat lately.
+func (p *panel) heard(ref model.MemberRef, now model.Time) bool {
+	l := p.leases[ref]
+	return l != nil && l.seen > 0 && now.Sub(l.seen) <= overdue
+}
+
 // visitors returns the daemons that hold a lease but are not members, by VM.
 func (p *panel) visitors(now model.Time) []model.Member {
 	var list []model.Member
@@ -143,6 +149,9 @@
 // HeartbeatArrived answers a request for a lease.
 func (s *State) HeartbeatArrived(m event.Meta, e event.HeartbeatArrived, out *effect.List) {
 	s.arrive(m)
+	if l := s.panel.leases[e.Header.From]; l != nil {
+		l.seen = m.Now
+	}
 	result := s.decide(m, e, out)
 	out.Add(effect.ReplyHeartbeat{
 		Token:  e.Token,
--- a/pkg/core/membership/view.go
+++ b/pkg/core/membership/view.go
@@ -114,12 +114,13 @@
 	return v.fences[ref].majorityOf(len(v.epoch.Panel))
 }
 
-// fencedByRest reports whether a majority of the panel members that are not lost
-// fenced the incarnation. It is enough to leave it out of the next epoch, which
-// is safe for any member, but not to act in its place.
-func (v *epochView) fencedByRest(ref model.MemberRef) bool {
-	rest := len(v.epoch.Panel) - bits.OnesCount64(uint64(v.lost))
-	return v.fenced(ref) || rest > 0 && (v.fences[ref]&^v.lost).majorityOf(rest)
+// barred reports whether fences and losses leave no majority of the panel that
+// could grant the incarnation a lease. It is left out of the next epoch then,
+// which is safe for any member; it is not enough to act in its place.
+func (v *epochView) barred(ref model.MemberRef) bool {
+	fences := v.fences[ref] &^ v.lost
+	able := voters(1<<len(v.epoch.Panel)-1) &^ (v.fences[ref] | v.lost)
+	return fences != 0 && !able.majorityOf(len(v.epoch.Panel))
 }
 
 func (v *epochView) isMember() bool {
--- a/pkg/core/membership/world_test.go
+++ b/pkg/core/membership/world_test.go
@@ -303,7 +303,7 @@
 }
 
 func firstListed(members []model.Member, listed func(model.VM) bool, keep []model.MemberRef, limit int) []model.MemberRef {
-	panel := slices.Clone(keep)
+	panel := slices.Clone(keep[:min(len(keep), limit)])
 	for _, m := range members {
 		if len(panel) < limit && listed(m.VM) && !slices.Contains(panel, m.MemberRef) {
 			panel = append(panel, m.MemberRef)
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -211,7 +211,10 @@
 	if len(next.Panel) == 0 {
 		return nil
 	}
-	if slices.Equal(next.Members, cur.Members) && slices.Equal(next.Servers, cur.Servers) && slices.Equal(next.Panel, cur.Panel) {
+	// A new epoch also gives a lease again to live members that so many panel
+	// members fenced that no majority is left for them.
+	barred := slices.ContainsFunc(cur.Members, func(m model.Member) bool { return s.cur.barred(m.MemberRef) })
+	if !barred && slices.Equal(next.Members, cur.Members) && slices.Equal(next.Servers, cur.Servers) && slices.Equal(next.Panel, cur.Panel) {
 		return nil
 	}
 	return next
@@ -249,13 +252,13 @@
 }
 
 // panelMembers returns the next members as a panel member knows them: without
-// the fenced ones, with the daemons that hold a lease but are not members. A
+// the fenced ones and the dead ones that can get no lease any more, with the daemons that hold a lease but are not members. A
 // restarted daemon waits until its former incarnation is fenced, because its
 // successor can act as soon as that is so.
 func (s *State) panelMembers(now model.Time) []model.Member {
 	var members []model.Member
 	for _, m := range s.cur.epoch.Members {
-		if s.cur.fencedByRest(m.MemberRef) {
+		if s.cur.fenced(m.MemberRef) || s.cur.barred(m.MemberRef) && !s.panel.heard(m.MemberRef, now) {
 			continue
 		}
 		if l := s.panel.leases[m.MemberRef]; l != nil && l.member.Leaving {
@@ -284,7 +287,7 @@
 	}
 	for _, m := range s.cur.epoch.Members {
 		i := vmIndex(s.cur.epoch.Panel, m.VM)
-		if s.cur.fenced(m.MemberRef) || s.isLeaving(m.MemberRef) || i >= 0 && s.cur.lost&(1<<i) != 0 {
+		if s.cur.barred(m.MemberRef) || s.isLeaving(m.MemberRef) || i >= 0 && s.cur.lost&(1<<i) != 0 {
 			continue
 		}
 		members = addMember(members, m)
