--- a/pkg/core/fakes_test.go
+++ b/pkg/core/fakes_test.go
@@ -120,8 +120,14 @@
 		doc := fmt.Sprintf("%s|%s|%s|%d", sub.RequestID, sub.Shard, sub.Snapshot.Layout, sub.Snapshot.IndexVersion)
 		res.Items = []model.Item{{ID: string(sub.Shard), Score: 1, Doc: []byte(doc)}}
 		res.Count = 1
-		if b.w.rng.IntN(1000) < b.w.truncatePerMille {
-			res.Items = nil // truncated
+		switch fault := b.w.rng.IntN(1000); {
+		case fault < b.w.truncatePerMille:
+			res.Items = nil
+		case fault < 2*b.w.truncatePerMille:
+			// An answer from another index version, labelled as such.
+			res.Snapshot.IndexVersion++
+			doc = fmt.Sprintf("%s|%s|%s|%d", sub.RequestID, sub.Shard, sub.Snapshot.Layout, res.Snapshot.IndexVersion)
+			res.Items[0].Doc = []byte(doc)
 		}
 	case model.OutcomeVersionGone:
 		res.Versions = slices.Clone(b.versions)
@@ -219,6 +225,17 @@
 	}
 }
 
+// repeatWatches answers all watches once more, as happens when they time out.
+func (p *fakePlatform) repeatWatches() {
+	for _, n := range p.w.nodes {
+		for _, kind := range []event.DocumentKind{event.DocumentBundle, event.DocumentControls, event.DocumentEpoch} {
+			if n.watches[kind] && !p.down {
+				p.read(n, kind)
+			}
+		}
+	}
+}
+
 func (p *fakePlatform) decode(_ event.DocumentKind, raw []byte) event.Document {
 	return p.raws[string(raw)]
 }
@@ -231,6 +248,8 @@
 			o = p.old[kind]
 		}
 		switch {
+		case n.rejects && kind == event.DocumentBundle:
+			n.post(event.DocumentFailed{Kind: kind, Err: "rejected"})
 		case p.down:
 			n.post(event.DocumentFailed{Kind: kind, Err: "unavailable"})
 			if n.watches[kind] {
--- a/pkg/core/invariant_test.go
+++ b/pkg/core/invariant_test.go
@@ -156,6 +156,7 @@
 		p.down = !p.down
 	case 1:
 		p.stale = !p.stale
+		p.repeatWatches()
 	case 2:
 		p.loseReply = true
 	case 3:
--- a/pkg/core/network_test.go
+++ b/pkg/core/network_test.go
@@ -167,6 +167,9 @@
 		return event.DocumentRequested{Token: t, Header: n.state.Header(), Kind: e.Kind}
 	}, func(r any) event.Body {
 		a := r.(effect.ReplyDocument)
+		if n.rejects && e.Kind == event.DocumentBundle {
+			return event.DocumentFailed{Kind: e.Kind, Address: e.Address, Err: "rejected"}
+		}
 		if a.Version == 0 {
 			return event.DocumentFailed{Kind: e.Kind, Address: e.Address, NotFound: true, Err: "none"}
 		}
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -72,6 +72,12 @@
 	}
 	// A server turns cold without warning; its first answer after that is the
 	// first sign of it. What was sent before that sign is not counted.
+	for _, other := range b.running {
+		if other.node != n {
+			o.failf("single owner: %s works for %s while it works for %s", b.def.Name, n.vm, other.node.vm)
+			break
+		}
+	}
 	if b.coldLeft > 0 && b.coldTold > 0 && sentAt > b.coldTold && len(b.running) > b.def.Cold.Slots {
 		o.failf("cold start: %s runs %d but bears %d", b.def.Name, len(b.running), b.def.Cold.Slots)
 	}
--- a/pkg/core/points_test.go
+++ b/pkg/core/points_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
+	"github.com/pistachiousher/pistachiousher/pkg/core/query"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -251,6 +253,29 @@
 	}
 }
 
+// Guards against an exit that leaves a request without its reply: both replicas
+// of a shard hang, so that a request sent last runs until its deadline.
+func TestInvariantGracefulStopWaits(t *testing.T) {
+	s := newScenario(t, 12)
+	n := s.byVM["e0"]
+	s.load(time.Second)
+	n.post(event.StopRequested{Reason: "replacement"})
+	s.run(query.LookupMaxAge + 1900*time.Millisecond)
+	s.backends["s2"].frozen, s.backends["s4"].frozen = true, true
+	req := model.Request{ID: "last", Service: "search", Caller: "counter", Idempotent: true,
+		Deadline: n.clock().Add(900 * time.Millisecond), Query: "q", TopK: 10}
+	replied := false
+	n.post(event.QueryArrived{Request: req, Token: n.expect(func(r any) {
+		replied = true
+		s.oracle.answered(n, req, r.(effect.ReplyQuery), s.now)
+	})})
+	s.run(10 * time.Second)
+	s.finish(100)
+	if !replied || !n.exited {
+		t.Fatalf("replied %v, exited %v", replied, n.exited)
+	}
+}
+
 // Guards against a configuration that is not in force everywhere 3 s after it
 // was accepted, or that an old copy or a restart takes back.
 func TestInvariantConfigurationInForce(t *testing.T) {
@@ -259,6 +284,7 @@
 		s.rollOut(testBundle(s.bundle.Version+1, 2))
 		s.load(200 * time.Millisecond)
 		s.platform.stale = i%2 == 0
+		s.platform.repeatWatches()
 		n := s.byVM[vm]
 		n.paused = true
 		s.load(4 * time.Second)
@@ -270,9 +296,16 @@
 		s.platform.stale = false
 		s.load(2 * time.Second)
 	}
+	// A daemon that cannot take the new version must stop serving.
+	s.byVM["e1"].rejects = true
+	s.rollOut(testBundle(s.bundle.Version+1, 2))
+	s.load(5 * time.Second)
 	s.finish(1000)
-	if len(s.oracle.accepted) < 6 {
-		t.Fatalf("accepted versions %v, want 6", s.oracle.accepted)
+	if len(s.oracle.accepted) < 7 {
+		t.Fatalf("accepted versions %v, want 7", s.oracle.accepted)
+	}
+	if s.byVM["e1"].state.Status(s.byVM["e1"].clock()).Ready {
+		t.Fatal("a daemon without the accepted version still serves")
 	}
 }
 
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -27,7 +27,8 @@
 	cuts     map[[2]model.VM]bool
 	lossPct  int
 	slowPct  int
-	// truncatePerMille of the answers of backend servers lack their items.
+	// truncatePerMille of the answers of backend servers lack their items, and
+	// as many are of another index version.
 	truncatePerMille int
 	oracle           *oracle
 	bundle           *model.Bundle
@@ -46,6 +47,8 @@
 	paused bool
 	dead   bool
 	exited bool
+	// rejects: every bundle fails this daemon's checks, as with old keys.
+	rejects bool
 	// resumedAt is when the last pause ended.
 	resumedAt time.Duration
 	inbox     []event.Body
