Let a cluster end daemons at once

A cluster whose daemons are all stopped gracefully at the same time waits for the 30 s limit of a stop, because leaving daemons hand their servers to each other. daemon.Options.Abort ends a daemon without a graceful shutdown; Cluster.Close and Cluster.KillDaemon use it.

--- a/pkg/daemon/actors.go
+++ b/pkg/daemon/actors.go
@@ -31,12 +31,8 @@
 	maxHeaderBytes = 16 << 10
 )
 
-var (
-	// errExited ends the group after the reducer's effect.Exit.
-	errExited = errors.New("daemon: exited")
-	// errForced ends the group at a second signal.
-	errForced = errors.New("daemon: second signal, stopped at once")
-)
+// errExited ends the group after the reducer's effect.Exit.
+var errExited = errors.New("daemon: exited")
 
 // addLog adds the log writer. The group interrupts its actors in the order in
 // which they were added, so the log writer is added last and writes the last
@@ -113,12 +109,16 @@
 		d.stop("signal " + s.String())
 	case <-ctx.Done():
 		d.stop("context ended")
+	case <-d.options.Abort:
+		return ErrAborted
 	case <-done:
 		return nil
 	}
 	select {
 	case <-signals:
-		return errForced
+		return ErrAborted
+	case <-d.options.Abort:
+		return ErrAborted
 	case <-done:
 		return nil
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -55,12 +55,20 @@
 	LogLevel  log.Level
 	// Recorder records the event stream; nil for none.
 	Recorder runtime.Recorder
+	// Abort, if closed, ends the daemon without a graceful shutdown, like a
+	// second signal.
+	Abort <-chan struct{}
 	// Listening, if set, is told the addresses when all listeners are open.
 	Listening func(Addresses)
 }
 
-// ErrOptions means that the options are incomplete.
-var ErrOptions = errors.New("daemon: invalid options")
+var (
+	// ErrOptions means that the options are incomplete.
+	ErrOptions = errors.New("daemon: invalid options")
+	// ErrAborted means that a second signal or Options.Abort ended the daemon
+	// before its graceful shutdown was complete.
+	ErrAborted = errors.New("daemon: stopped at once, without a graceful shutdown")
+)
 
 func (o *Options) check() error {
 	switch {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -174,15 +174,14 @@
 	return nil
 }
 
-// Close stops everything at once: daemons first, without waiting for lookup
-// answers to expire longer than a graceful shutdown does, then the stand-ins.
+// Close ends everything at once, daemons without a graceful shutdown.
 func (c *Cluster) Close() {
 	c.mu.Lock()
 	daemons := c.daemons
 	c.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, d := range daemons {
-		wg.Go(func() { d.stop() })
+		wg.Go(d.kill)
 	}
 	wg.Wait()
 	c.mu.Lock()
--- a/standin/cluster/daemons.go
+++ b/standin/cluster/daemons.go
@@ -21,6 +21,7 @@
 	daemon    Daemon
 	addresses daemon.Addresses
 	cancel    context.CancelFunc
+	abort     context.CancelFunc
 	done      chan struct{}
 	err       error // valid once done is closed
 	stopped   bool  // by request; guarded by Cluster.mu
@@ -33,6 +34,12 @@
 	return p.err
 }
 
+// kill ends the daemon without a graceful shutdown.
+func (p *daemonProcess) kill() {
+	p.abort()
+	<-p.done
+}
+
 // AddDaemon starts a further daemon, adds its VM to the platform's list, and
 // returns its number.
 func (c *Cluster) AddDaemon(ctx context.Context, d Daemon) (int, error) {
@@ -64,6 +71,16 @@
 	return nil
 }
 
+// KillDaemon ends a daemon without a graceful shutdown, as when its VM fails.
+// The platform's list still shows the VM.
+func (c *Cluster) KillDaemon(i int) {
+	c.mu.Lock()
+	p := c.daemons[i]
+	p.stopped = true
+	c.mu.Unlock()
+	p.kill()
+}
+
 // LeaveVM shows the daemon's VM as leaving in the platform's list, which makes
 // the daemon stop gracefully by itself.
 func (c *Cluster) LeaveVM(i int) {
@@ -141,22 +158,25 @@
 	options.LogOutput = c.log
 	options.Listening = func(a daemon.Addresses) { listening <- a }
 	runCtx, cancel := context.WithCancel(context.Background())
-	p := &daemonProcess{daemon: d, cancel: cancel, done: make(chan struct{})}
+	abortCtx, abort := context.WithCancel(context.Background())
+	options.Abort = abortCtx.Done()
+	p := &daemonProcess{daemon: d, cancel: cancel, abort: abort, done: make(chan struct{})}
 	go p.run(runCtx, options, files)
 	select {
 	case p.addresses = <-listening:
 		return p, nil
 	case <-p.done:
-		cancel()
 		return nil, fmt.Errorf("%w: %s: %w", ErrDaemon, d.VM, p.err)
 	case <-ctx.Done():
-		cancel()
+		abort()
 		return nil, fmt.Errorf("cluster: start of %s: %w", d.VM, ctx.Err())
 	}
 }
 
 func (p *daemonProcess) run(ctx context.Context, o daemon.Options, files io.Closer) {
 	defer close(p.done)
+	defer p.cancel()
+	defer p.abort()
 	p.err = daemon.Run(ctx, o)
 	if err := files.Close(); p.err == nil {
 		p.err = err
