--- a/pkg/cli/commands.go
+++ b/pkg/cli/commands.go
@@ -13,6 +13,8 @@
 	return []Command{
 		{Name: "lookup", Group: groupQueries, Synopsis: "show which daemons a caller should use", New: func() Action { return new(lookupAction) }},
 		{Name: "query", Group: groupQueries, Args: "TEXT", Synopsis: "run one query", New: func() Action { return new(queryAction) }},
+		{Name: "load", Group: groupQueries, Args: "[QUERY...]", Synopsis: "send a load of queries and report latencies, coverage and outcomes",
+			New: func() Action { return new(loadAction) }},
 		{Name: "bundle", Group: groupOperation, Synopsis: "validate, sign and roll out bundles", Sub: bundleCommands()},
 		{Name: "domain", Group: groupOperation, Synopsis: "take failure domains out and bring them back", Sub: domainCommands()},
 		{Name: "server", Group: groupOperation, Synopsis: "drain backend servers and put them back", Sub: serverCommands()},
--- a/pkg/cli/wait.go
+++ b/pkg/cli/wait.go
@@ -27,8 +27,12 @@
 	if d.State == operator.Unknown {
 		return fmt.Sprintf("%s: unknown: %s", d.Address, d.Problem)
 	}
-	return fmt.Sprintf("%s (%s): %s, bundle %d, controls %d, epoch %d, serving %t", d.Address, d.Status.VM,
-		d.State, d.Status.BundleVersion, d.Status.ControlsVersion, d.Status.Epoch, d.Status.Serving)
+	serving := "serving"
+	if !d.Status.Serving {
+		serving = "not serving: " + d.Status.Reason
+	}
+	return fmt.Sprintf("%s (%s): %s, bundle %d, controls %d, epoch %d, %s", d.Address, d.Status.VM,
+		d.State, d.Status.BundleVersion, d.Status.ControlsVersion, d.Status.Epoch, serving)
 }
 
 // waitFor waits until the version is in force at all daemons and says so on
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -50,6 +50,8 @@
 	Answered int
 	// Attempts counts the sub-requests sent for the request.
 	Attempts int
+	// Reason says why there is no answer.
+	Reason string
 	// Wrong says how an answer differs from what was expected; empty if it
 	// does not.
 	Wrong string
@@ -98,11 +100,25 @@
 	Asked    int
 	Answered int
 	Attempts int
-	Wrong    []string
+	// Reasons counts the requests without an answer by reason; those beyond
+	// maxReasons are counted as otherReason.
+	Reasons map[string]int
+	Wrong   []string
 	// latencies are in microseconds, from the planned start of a request.
 	latencies *hdrhistogram.Histogram
 }
 
+func newReport() *Report {
+	return &Report{Reasons: make(map[string]int), latencies: hdrhistogram.New(1, time.Hour.Microseconds(), 3)}
+}
+
+func (r *Report) addReason(reason string) {
+	if _, known := r.Reasons[reason]; !known && len(r.Reasons) >= maxReasons {
+		reason = otherReason
+	}
+	r.Reasons[reason]++
+}
+
 // Percentile returns the latency of the given percentile, 0 to 100, over the
 // requests that got an answer.
 func (r *Report) Percentile(p float64) time.Duration {
@@ -133,6 +149,15 @@
 	return float64(r.Outcomes[Complete]) / r.Elapsed.Seconds()
 }
 
+const (
+	// maxReasons bounds the reasons that a report tells apart.
+	maxReasons  = 50
+	otherReason = "other"
+	// reasonInFlight is the reason of a request that Options.MaxInFlight held
+	// back.
+	reasonInFlight = "too many requests in flight"
+)
+
 // maxWrong bounds the wrong answers that a report keeps.
 const maxWrong = 10
 
@@ -150,7 +175,7 @@
 	if err := opts.check(); err != nil {
 		return nil, err
 	}
-	r := &run{opts: opts, report: &Report{latencies: hdrhistogram.New(1, time.Hour.Microseconds(), 3)}}
+	r := &run{opts: opts, report: newReport()}
 	stopProgress := r.startProgress()
 	start := time.Now()
 	var wg sync.WaitGroup
@@ -193,6 +218,7 @@
 	r.report.Requests++
 	if r.active >= r.opts.MaxInFlight {
 		r.report.Outcomes[Failed]++
+		r.report.addReason(reasonInFlight)
 		return false
 	}
 	r.active++
@@ -215,6 +241,9 @@
 		rep.Attempts += res.Attempts
 		_ = rep.latencies.RecordValue(max(1, took.Microseconds()))
 	}
+	if res.Reason != "" {
+		rep.addReason(res.Reason)
+	}
 	if res.Wrong != "" && len(rep.Wrong) < maxWrong {
 		rep.Wrong = append(rep.Wrong, res.Wrong)
 	}
--- a/pkg/operator/daemons.go
+++ b/pkg/operator/daemons.go
@@ -26,7 +26,9 @@
 	BundleVersion   uint64   `json:"bundle_version"`
 	ControlsVersion uint64   `json:"controls_version"`
 	Serving         bool     `json:"serving"`
-	Epoch           uint64   `json:"epoch"`
+	// Reason says why the daemon does not serve.
+	Reason string `json:"reason,omitempty"`
+	Epoch  uint64 `json:"epoch"`
 }
 
 // State says whether a version is in force at a daemon.
@@ -108,15 +110,21 @@
 		return s
 	}
 	s.Status = status
+	s.State = stateOf(status, of(status) >= version)
+	return s
+}
+
+func stateOf(s DaemonStatus, upToDate bool) State {
 	switch {
-	case of(status) >= version:
-		s.State = InForce
-	case !status.Serving:
-		s.State = StoppedServing
-	default:
-		s.State = Behind
+	case s.BundleVersion == 0 && !s.Serving:
+		// A daemon without a bundle has nothing in force.
+		return StoppedServing
+	case upToDate:
+		return InForce
+	case !s.Serving:
+		return StoppedServing
 	}
-	return s
+	return Behind
 }
 
 func fetchStatus(ctx context.Context, address string) (DaemonStatus, error) {
