--- a/pkg/runtime/loop_test.go
+++ b/pkg/runtime/loop_test.go
@@ -29,14 +29,16 @@
 		}
 	}
 	start := time.Now()
-	answer, refusal := f.Query(context.Background(), model.Request{ID: "i"}, time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	answer, refusal := f.Query(ctx, model.Request{ID: "i"}, time.Second)
 	if answer != nil || refusal == nil || refusal.Kind != model.NotRun || refusal.RetryAfter <= 0 {
 		t.Fatalf("answer %v, refusal %+v; want not_run", answer, refusal)
 	}
 	if took := time.Since(start); took > 500*time.Millisecond {
 		t.Errorf("the refusal took %v", took)
 	}
-	if l := f.Lookup(context.Background(), "s", "c"); l == nil || l.Refusal == nil {
+	if l := f.Lookup(ctx, "s", "c"); l == nil || l.Refusal == nil {
 		t.Error("lookup was not refused")
 	}
 	if len(f.pending.waits) != 0 {
@@ -297,3 +299,73 @@
 	cancel()
 	<-done
 }
+
+// Guards against a graceful shutdown that loses results the reducer had
+// delivered: all must be sent although the loop has ended.
+func TestStopSendsBufferedResults(t *testing.T) {
+	const subs = 50
+	f := newFixture(t, 0)
+	f.core.react = func(e event.Event) []effect.Effect {
+		b, ok := e.Body.(event.ExecuteArrived)
+		if !ok {
+			return nil
+		}
+		var out []effect.Effect
+		for i := range b.Subs {
+			out = append(out, effect.SendSubResult{Stream: b.Stream, Last: i == len(b.Subs)-1})
+		}
+		return append(out, effect.Exit{Reason: "test"})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(context.Background())
+	}()
+	sent := 0
+	err := f.Execute(context.Background(), peer.Execute{Subs: make([]model.SubRequest, subs), Left: time.Second}, func(*model.SubResult) error {
+		<-done
+		sent++
+		return nil
+	})
+	if err != nil || sent != subs {
+		t.Errorf("sent %d of %d results, %v", sent, subs, err)
+	}
+}
+
+// BenchmarkQuery measures the loop's own cost of a request: two channel
+// passages, the clock, the reply by token.
+func BenchmarkQuery(b *testing.B) {
+	core := &benchCore{}
+	l := New(Config{Core: core})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(context.Background())
+	}()
+	b.ReportAllocs()
+	for b.Loop() {
+		if a, _ := l.Query(context.Background(), model.Request{}, time.Second); a == nil {
+			b.Fatal("no answer")
+		}
+	}
+	l.Stop("end")
+	<-done
+}
+
+// benchCore answers at once and keeps nothing.
+type benchCore struct{ out []effect.Effect }
+
+func (c *benchCore) Step(e event.Event) []effect.Effect {
+	c.out = c.out[:0]
+	switch b := e.Body.(type) {
+	case event.QueryArrived:
+		c.out = append(c.out, effect.ReplyQuery{Token: b.Token, Answer: &model.Answer{}})
+	case event.StopRequested:
+		c.out = append(c.out, effect.Exit{})
+	}
+	return c.out
+}
+
+func (c *benchCore) NextWake() model.Time { return model.Never }
+
+func (c *benchCore) Header() model.Header { return model.Header{} }
