Add the demo and replay commands

Newcomers need one command that shows what the query tier does, and traces were recorded without a way to replay them.

A trace now begins with the configuration of its core, so that replay needs nothing else. It exits 1 at the first mismatch or when the trace is cut off.

--- a/pkg/cli/commands.go
+++ b/pkg/cli/commands.go
@@ -20,6 +20,10 @@
 		{Name: "server", Group: groupOperation, Synopsis: "drain backend servers and put them back", Sub: serverCommands()},
 		{Name: "status", Group: groupOperation, Synopsis: "show what is out of service and what each daemon has in force",
 			New: func() Action { return new(statusAction) }},
+		{Name: "replay", Group: groupOther, Args: "FILE", Synopsis: "run a recorded trace through a new reducer and compare its effects",
+			New: func() Action { return new(replayAction) }},
+		{Name: "demo", Group: groupOther, Synopsis: "run a whole query tier in this process, take a failure domain out and check every answer",
+			New: func() Action { return new(demoAction) }},
 		{Name: "version", Group: groupOther, Synopsis: "print the version of the program",
 			New: func() Action { return new(versionAction) }},
 	}
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/bundle"
 	"github.com/pistachiousher/pistachiousher/pkg/controls"
 	"github.com/pistachiousher/pistachiousher/pkg/core"
+	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/core/membership"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -26,6 +28,7 @@
 // returned closer ends the files that the settings name; it is never nil.
 func FromSettings(s *settings.Settings) (Options, io.Closer, error) {
 	var files closers
+	var recorder traceRecorder
 	o := Options{
 		VM:            s.VM,
 		Region:        s.Region,
@@ -33,7 +36,7 @@
 		Platform:      "http://" + s.Platform.Addresses[0],
 		PlatformRate:  s.Platform.CallsPerSecond,
 		PlatformBurst: platformBurst,
-		NewCore:       newCore(s),
+		NewCore:       newCore(s, &recorder),
 		Decode:        decoder(s),
 		LogLevel:      s.Log.Level,
 	}
@@ -50,9 +53,9 @@
 		if err != nil {
 			return o, files, fmt.Errorf("daemon: trace file: %w", err)
 		}
-		w := trace.NewWriter(f)
-		files = append(files, w, f)
-		o.Recorder = w
+		recorder.file = f
+		files = append(files, &recorder)
+		o.Recorder = &recorder
 	}
 	return o, files, nil
 }
@@ -70,8 +73,33 @@
 	return first
 }
 
+// traceRecorder records the event stream in a file from when the configuration
+// of the core is known.
+type traceRecorder struct {
+	file   *os.File // nil for no recording
+	writer *trace.Writer
+}
+
+// begin must be called before the first step.
+func (r *traceRecorder) begin(cfg core.Config) {
+	if r.file != nil {
+		r.writer = trace.NewWriter(r.file, cfg)
+	}
+}
+
+// Record implements runtime.Recorder.
+func (r *traceRecorder) Record(e event.Event, effects []effect.Effect) { r.writer.Record(e, effects) }
+
+// Close ends the trace and closes its file.
+func (r *traceRecorder) Close() error {
+	if r.writer == nil {
+		return r.file.Close()
+	}
+	return errors.Join(r.writer.Close(), r.file.Close())
+}
+
 // newCore makes the reducer. Advertised addresses default to those listened on.
-func newCore(s *settings.Settings) func(Addresses) (runtime.Core, error) {
+func newCore(s *settings.Settings, recorder *traceRecorder) func(Addresses) (runtime.Core, error) {
 	return func(a Addresses) (runtime.Core, error) {
 		cfg := core.Config{
 			Self: model.MemberRef{
@@ -90,6 +118,7 @@
 		if s.Advertise.Caller != "" {
 			cfg.CallerAddress = s.Advertise.Caller
 		}
+		recorder.begin(cfg)
 		return core.New(cfg), nil
 	}
 }
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -1,7 +1,8 @@
 // Package trace writes and reads the event stream of a daemon and replays it.
-// A trace is a gzip stream of gob values, one per step of the core. It holds
-// each event and a hash of its effects, so that a replay can tell whether the
-// core still does the same.
+// A trace is a gzip stream of gob values: a header with the configuration of
+// the core, then one value per step. A step holds its event and a hash of its
+// effects, so that a replay needs nothing else to tell whether the core still
+// does the same.
 package trace
 
 import (
@@ -12,6 +13,7 @@
 	"io"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core"
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -24,6 +26,15 @@
 // flushInterval bounds the events lost when the process is killed.
 const flushInterval = time.Second
 
+// formatName begins every trace. A change of the format needs a new name.
+const formatName = "pistachiousher trace 1"
+
+// header is the first value of a trace.
+type header struct {
+	Format string
+	Config core.Config
+}
+
 // Step is one recorded step of the core.
 type Step struct {
 	Event event.Event
@@ -56,10 +67,13 @@
 	err     error
 }
 
-// NewWriter returns a recorder that writes to w.
-func NewWriter(w io.Writer) *Writer {
+// NewWriter returns a recorder that writes to w the steps of a core made with
+// cfg.
+func NewWriter(w io.Writer, cfg core.Config) *Writer {
 	zip := gzip.NewWriter(w)
-	return &Writer{zip: zip, gob: gob.NewEncoder(zip)}
+	out := &Writer{zip: zip, gob: gob.NewEncoder(zip)}
+	out.err = out.gob.Encode(header{Format: formatName, Config: cfg})
+	return out
 }
 
 // Record writes one step. After an error it does nothing more; Close returns
@@ -90,13 +104,22 @@
 // Reader reads a trace.
 type Reader struct{ gob *gob.Decoder }
 
-// NewReader returns a reader of the trace in r. The error is ErrInvalid.
-func NewReader(r io.Reader) (*Reader, error) {
+// NewReader returns a reader of the trace in r and the configuration of the
+// core that was recorded. The error is ErrInvalid.
+func NewReader(r io.Reader) (*Reader, core.Config, error) {
 	zip, err := gzip.NewReader(r)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return nil, core.Config{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	in := &Reader{gob: gob.NewDecoder(zip)}
+	var h header
+	if err := in.gob.Decode(&h); err != nil {
+		return nil, core.Config{}, fmt.Errorf("%w: header: %w", ErrInvalid, err)
+	}
+	if h.Format != formatName {
+		return nil, core.Config{}, fmt.Errorf("%w: format %q is not %q", ErrInvalid, h.Format, formatName)
 	}
-	return &Reader{gob: gob.NewDecoder(zip)}, nil
+	return in, h.Config, nil
 }
 
 // Next returns the next step, io.EOF at the end of a whole trace, or
@@ -143,7 +166,7 @@
 
 // Replay feeds a trace to a new core and compares the effects of each step. It
 // returns the number of equal steps, and a *MismatchError or ErrInvalid.
-func Replay(core Core, r *Reader) (int, error) {
+func Replay(c Core, r *Reader) (int, error) {
 	for n := 0; ; n++ {
 		s, err := r.Next()
 		if err == io.EOF {
@@ -152,7 +175,7 @@
 		if err != nil {
 			return n, err
 		}
-		got := core.Step(s.Event)
+		got := c.Step(s.Event)
 		if len(got) != s.Effects || Hash(got) != s.Hash {
 			return n, &MismatchError{Step: n, Body: s.Event.Body, Want: s.Effects, Got: got}
 		}
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -7,12 +7,15 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core"
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/logevent"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
+var testConfig = core.Config{Self: model.MemberRef{VM: "vm1", Incarnation: 3}, Region: "r", Seeds: []string{"127.0.0.1:1"}}
+
 // bodies has one event of each type with nested and empty values.
 func bodies() []event.Body {
 	ref := model.MemberRef{VM: "vm1", Incarnation: 1 << 63}
@@ -81,7 +84,7 @@
 func record(t *testing.T) []byte {
 	t.Helper()
 	var buf bytes.Buffer
-	w := NewWriter(&buf)
+	w := NewWriter(&buf, testConfig)
 	core := new(echo)
 	for i, b := range bodies() {
 		e := event.Event{Meta: event.Meta{Now: model.Time(i) * 1e9, Wall: 5, Rand: 7}, Body: b}
@@ -95,10 +98,13 @@
 
 func replay(t *testing.T, data []byte, core *echo) (int, error) {
 	t.Helper()
-	r, err := NewReader(bytes.NewReader(data))
+	r, cfg, err := NewReader(bytes.NewReader(data))
 	if err != nil {
 		t.Fatal(err)
 	}
+	if !reflect.DeepEqual(cfg, testConfig) {
+		t.Errorf("read configuration %+v, wrote %+v", cfg, testConfig)
+	}
 	return Replay(core, r)
 }
 
@@ -132,7 +138,7 @@
 	if n, err := replay(t, data[:len(data)-20], new(echo)); !errors.Is(err, ErrInvalid) {
 		t.Errorf("%d steps, %v; want ErrInvalid", n, err)
 	}
-	if _, err := NewReader(bytes.NewReader([]byte("text"))); !errors.Is(err, ErrInvalid) {
+	if _, _, err := NewReader(bytes.NewReader([]byte("text"))); !errors.Is(err, ErrInvalid) {
 		t.Errorf("not a trace: %v", err)
 	}
 }
--- a/standin/cluster/expect.go
+++ b/standin/cluster/expect.go
@@ -35,17 +35,19 @@
 // Expect searches the documents of a service directly: every shard of the last
 // layout, or only the one whose range holds key if key is not empty. It
 // computes scores from the documents themselves and shares no code with the
-// backend servers or the daemons.
-func (c *Cluster) Expect(service model.ServiceName, query string, topK int, key string) ([]Item, error) {
+// backend servers or the daemons. Shards named as missing are left out, as from
+// a partial answer.
+func (c *Cluster) Expect(service model.ServiceName, query string, topK int, key string, missing ...model.ShardName) ([]Item, error) {
 	s, ok := c.Bundle().Service(service)
 	if !ok {
 		return nil, fmt.Errorf("%w: no service %s", ErrOptions, service)
 	}
 	var all []Item
 	for _, shard := range s.Layouts[len(s.Layouts)-1].Shards {
-		if key == "" || shard.Holds(key) {
-			all = append(all, searchShard(c.shardDocuments(shard), query)...)
+		if slices.Contains(missing, shard.Name) || (key != "" && !shard.Holds(key)) {
+			continue
 		}
+		all = append(all, searchShard(c.shardDocuments(shard), query)...)
 	}
 	slices.SortFunc(all, func(a, b Item) int {
 		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
