--- a/pkg/cli/commands.go
+++ b/pkg/cli/commands.go
@@ -13,11 +13,17 @@
 	return []Command{
 		{Name: "lookup", Group: groupQueries, Synopsis: "show which daemons a caller should use", New: func() Action { return new(lookupAction) }},
 		{Name: "query", Group: groupQueries, Args: "TEXT", Synopsis: "run one query", New: func() Action { return new(queryAction) }},
+		{Name: "load", Group: groupQueries, Args: "[QUERY...]", Synopsis: "send a load of queries and report latencies, coverage and outcomes",
+			New: func() Action { return new(loadAction) }},
 		{Name: "bundle", Group: groupOperation, Synopsis: "validate, sign and roll out bundles", Sub: bundleCommands()},
 		{Name: "domain", Group: groupOperation, Synopsis: "take failure domains out and bring them back", Sub: domainCommands()},
 		{Name: "server", Group: groupOperation, Synopsis: "drain backend servers and put them back", Sub: serverCommands()},
 		{Name: "status", Group: groupOperation, Synopsis: "show what is out of service and what each daemon has in force",
 			New: func() Action { return new(statusAction) }},
+		{Name: "replay", Group: groupOther, Args: "FILE", Synopsis: "run a recorded trace through a new reducer and compare its effects",
+			New: func() Action { return new(replayAction) }},
+		{Name: "demo", Group: groupOther, Synopsis: "run a whole query tier in this process, take a failure domain out and check every answer",
+			New: func() Action { return new(demoAction) }},
 		{Name: "version", Group: groupOther, Synopsis: "print the version of the program",
 			New: func() Action { return new(versionAction) }},
 	}
