standin: let a backend server queue requests over its slots

Cause: a server that refuses every request over its slots makes a client without limits look worse than it would be against a real server, which queues. Change: option queue, a bounded FIFO; default 0 refuses as before. A request that comes while all slots are taken counts as a violation in both cases; queued ones are counted as well.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -19,8 +19,12 @@
 	Orders int `json:"orders"`
 	// MaxRunning is the largest number that ran at once.
 	MaxRunning int `json:"max_running"`
-	// Violations came while all slots were taken.
+	// Violations came while all slots were taken, whether they waited in the
+	// queue or were refused.
 	Violations int `json:"violations"`
+	// Queued waited for a slot; MaxQueued is the largest number at once.
+	Queued    int `json:"queued"`
+	MaxQueued int `json:"max_queued"`
 	// FallOvers counts loads above what the cold server bore.
 	FallOvers int `json:"fall_overs"`
 	// WhileDraining came after the server had begun to drain.
@@ -62,6 +66,7 @@
 	random    *rand.Rand
 	holdings  map[Shard]*holding
 	running   int
+	waiting   []chan struct{} // each is closed when it gets a slot
 	served    int // good answers since the server turned cold
 	cold      bool
 	draining  bool
@@ -220,6 +225,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	if len(s.waiting) > 0 {
+		s.grant()
+	}
 	if !good || !s.cold {
 		return
 	}
--- a/standin/backend/config.go
+++ b/standin/backend/config.go
@@ -32,6 +32,9 @@
 	Listen string `yaml:"listen"`
 	// Slots is the number of requests it runs at once.
 	Slots int `yaml:"slots"`
+	// Queue is the number of requests over the slots that wait for one, first
+	// come first served; 0 refuses them at once.
+	Queue int `yaml:"queue"`
 	// Connections is the number of open connections; further ones are closed.
 	Connections int `yaml:"connections"`
 	// ConnectCost delays the first byte that is read from a new connection.
@@ -113,8 +116,8 @@
 	if c.Name == "" {
 		return c, fmt.Errorf("%w: a backend server has no name", ErrConfig)
 	}
-	if c.Slots < 0 || c.Connections < 0 || c.Cold.Slots < 0 {
-		return c, fmt.Errorf("%w: %s: slots and connections must not be negative", ErrConfig, c.Name)
+	if c.Slots < 0 || c.Queue < 0 || c.Connections < 0 || c.Cold.Slots < 0 {
+		return c, fmt.Errorf("%w: %s: slots, queue and connections must not be negative", ErrConfig, c.Name)
 	}
 	if c.Slots == 0 {
 		c.Slots = DefaultSlots
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -67,7 +67,11 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(req.DeadlineMS)*time.Millisecond)
 		defer cancel()
 	}
-	x, delay, status, no := s.begin(req)
+	x, delay, status, no := s.begin(ctx, req)
+	if status == statusStopped {
+		s.replyStopped(w, r)
+		return
+	}
 	if status != http.StatusOK {
 		reply(w, status, no)
 		return
@@ -88,9 +92,13 @@
 	})
 }
 
+// statusStopped is returned instead of an HTTP status for a request that was
+// canceled or expired in the queue.
+const statusStopped = 0
+
 // begin takes a slot for the request and logs the run, or refuses it. It
 // returns the time that the work takes.
-func (s *Server) begin(req searchRequest) (*index, time.Duration, int, refusal) {
+func (s *Server) begin(ctx context.Context, req searchRequest) (*index, time.Duration, int, refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Requests++
@@ -108,10 +116,18 @@
 	}
 	if s.running >= s.cfg.Slots {
 		s.counts.Violations++
-		no.Error = "shed"
-		return nil, 0, http.StatusTooManyRequests, no
+		if len(s.waiting) >= s.cfg.Queue {
+			no.Error = "shed"
+			return nil, 0, http.StatusTooManyRequests, no
+		}
+		if !s.wait(ctx) {
+			return nil, 0, statusStopped, no
+		}
+	} else {
+		s.running++
 	}
 	if s.fallsOver() {
+		s.running--
 		no.Error = "overloaded while cold"
 		return nil, 0, http.StatusInternalServerError, no
 	}
@@ -127,14 +143,14 @@
 	return h.versions[req.IndexVersion]
 }
 
-// fallsOver reports whether the server fails the request because of too much
-// load while cold. The caller holds mu.
+// fallsOver reports whether the server fails a request that has a slot because
+// of too much load while cold. The caller holds mu.
 func (s *Server) fallsOver() bool {
 	now := time.Now()
 	if now.Before(s.fallen) {
 		return true
 	}
-	if s.running < s.bears() {
+	if s.running <= s.bears() {
 		return false
 	}
 	s.counts.FallOvers++
@@ -143,7 +159,6 @@
 }
 
 func (s *Server) logRun(req searchRequest) {
-	s.running++
 	s.counts.Ran++
 	s.counts.MaxRunning = max(s.counts.MaxRunning, s.running)
 	if !req.Idempotent {
