--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -70,6 +71,9 @@
 	// MaxInFlight bounds the requests that run at once; a request that would
 	// exceed it counts as Failed.
 	MaxInFlight int
+	// Seed, if not 0, makes the arrivals a Poisson process that is the same for
+	// the same seed; with 0 they are evenly spaced.
+	Seed uint64
 	// Progress receives a line a second if not nil.
 	Progress io.Writer
 }
@@ -133,6 +137,20 @@
 	return float64(r.Outcomes[Complete]) / r.Elapsed.Seconds()
 }
 
+// Add sums another report of a load at the same time into r.
+func (r *Report) Add(o *Report) {
+	r.Requests += o.Requests
+	r.Elapsed = max(r.Elapsed, o.Elapsed)
+	for i, n := range o.Outcomes {
+		r.Outcomes[i] += n
+	}
+	r.Asked += o.Asked
+	r.Answered += o.Answered
+	r.Attempts += o.Attempts
+	r.Wrong = append(r.Wrong, o.Wrong...)
+	r.latencies.Merge(o.latencies)
+}
+
 // maxWrong bounds the wrong answers that a report keeps.
 const maxWrong = 10
 
@@ -155,8 +173,9 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	total := int(opts.Rate * opts.Duration.Seconds())
+	next := arrivals(opts)
 	for i := range total {
-		planned := start.Add(time.Duration(float64(i) / opts.Rate * float64(time.Second)))
+		planned := start.Add(next())
 		if !sleepUntil(ctx, planned) {
 			break
 		}
@@ -171,6 +190,25 @@
 	return r.report, nil
 }
 
+// arrivals returns a function that gives the time of each next arrival since
+// the start.
+func arrivals(o Options) func() time.Duration {
+	gap := float64(time.Second) / o.Rate
+	next := 0.0
+	if o.Seed == 0 {
+		return func() time.Duration {
+			at := next
+			next += gap
+			return time.Duration(at)
+		}
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	return func() time.Duration {
+		next += random.ExpFloat64() * gap
+		return time.Duration(next)
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	wait := time.Until(at)
 	if wait <= 0 {
