query: choose replicas in proportion to their fresh queue times

Cause: all daemons preferred the replica with the lower reported load. A report is up to 1.5 s old, so every query went to one replica until its queue was full and then to the other. Change: the choice is weighted rendezvous hashing by slots over the square of the expected time; queue times come from this daemon's own sub-results, and from the report only when those are older than 1 s.

--- a/pkg/core/query/replica.go
+++ b/pkg/core/query/replica.go
@@ -1,7 +1,7 @@
 package query
 
 import (
-	"math/bits"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,14 +19,14 @@
 	address string
 	// tries counts the query's earlier attempts at the server.
 	tries int
-	load  int
-	hash  uint64
+	// order is the place among the replicas; the smallest is chosen.
+	order float64
 }
 
 // choose picks the replica for the next attempt of a shard: usable by its
 // owner's report, serving the snapshot, not drained, owner known; the least
-// tried by this query first, then the less loaded, then by rendezvous hashing
-// with the request id. Without one it returns the reason.
+// tried by this query first, then by rendezvous hashing with the request id,
+// weighted by slots and expected time. Without one it returns the reason.
 func (s *State) choose(c *step, r *run, i int) (best pick, why model.MissingReason) {
 	sh := &r.shards[i]
 	var drained, ownerless, gone int
@@ -52,12 +52,12 @@
 		if !r.serves(sh, &report) {
 			continue
 		}
-		p := pick{shard: i, server: server, tries: tries, load: loadLevel(&report)}
+		p := pick{shard: i, server: server, tries: tries}
 		if !s.route(r, &p) {
 			ownerless++
 			continue
 		}
-		p.hash = rendezvous(r.hash, server)
+		p.order = rendezvous(r.hash, server) / s.weight(c.Now, &report)
 		if !found || p.before(&best) {
 			best, found = p, true
 		}
@@ -117,24 +117,20 @@
 	switch {
 	case p.tries != q.tries:
 		return p.tries < q.tries
-	case p.load != q.load:
-		return p.load < q.load
-	case p.hash != q.hash:
-		return p.hash < q.hash
+	case p.order != q.order:
+		return p.order < q.order
 	}
 	return p.server < q.server
 }
 
-// loadLevel is the load in powers of two of the limit. Reports are up to a few
-// hundred ms old; finer steps would send every query to the same replica until
-// the next report.
-func loadLevel(report *model.ServerReport) int {
-	return bits.Len(uint(max(report.Load, 0) / max(report.Limit, 1)))
-}
-
-func rendezvous(request uint64, server model.ServerName) uint64 {
+// rendezvous returns an exponentially distributed number for the pair. The
+// smallest quotient of such a number and a weight chooses in proportion to the
+// weights.
+func rendezvous(request uint64, server model.ServerName) float64 {
 	// Multiplying by an odd constant spreads the mixed hashes over all bits.
 	const spread = 0x9e3779b97f4a7c15
 	x := (request ^ xxhash.Sum64String(string(server))) * spread
-	return x ^ x>>32
+	x ^= x >> 32
+	// 53 bits fill a float64; the half keeps the logarithm finite.
+	return -math.Log((float64(x>>11) + 0.5) / (1 << 53))
 }
--- a/pkg/core/query/result.go
+++ b/pkg/core/query/result.go
@@ -46,6 +46,7 @@
 		return
 	}
 	st.results++
+	s.observeWait(c.Now, res)
 	s.takeResult(c, r, a, res)
 	s.settle(c, r)
 }
--- a/pkg/core/query/service.go
+++ b/pkg/core/query/service.go
@@ -36,7 +36,8 @@
 	}
 }
 
-// pruneServices forgets idle services that a new bundle no longer has.
+// pruneServices forgets idle services and servers that a new bundle no longer
+// has.
 func (s *State) pruneServices() {
 	b := s.view.Bundle()
 	if b == nil || b.Version == s.bundleVersion {
@@ -48,4 +49,9 @@
 			delete(s.services, name)
 		}
 	}
+	for name := range s.waits {
+		if _, ok := b.Server(name); !ok {
+			delete(s.waits, name)
+		}
+	}
 }
--- a/pkg/core/query/state.go
+++ b/pkg/core/query/state.go
@@ -63,6 +63,7 @@
 	forwards      map[event.Token]*forward
 	streams       map[event.StreamID]*stream
 	services      map[model.ServiceName]*service
+	waits         map[model.ServerName]*serverWait
 	once          onceTable
 	timers        timerHeap
 	bundleVersion uint64
@@ -88,6 +89,7 @@
 		forwards: make(map[event.Token]*forward),
 		streams:  make(map[event.StreamID]*stream),
 		services: make(map[model.ServiceName]*service),
+		waits:    make(map[model.ServerName]*serverWait),
 		once:     newOnceTable(),
 	}
 }
