query: hedge by recent latencies in services with few queries

Cause: the estimate changed every 512 samples. A service with 16 sub-requests a second at each daemon hedged for 32 s by the latencies of its start, and most stragglers were not hedged. Change: a window ends after 2 s as well if it has 64 samples.

--- a/pkg/core/query/hedge.go
+++ b/pkg/core/query/hedge.go
@@ -50,6 +50,6 @@
 // only know the winners and fall with every hedge.
 func (s *State) sampleLatency(c *step, r *run, a *attempt) {
 	if r.policy.HedgePercentile > 0 {
-		r.service.latency.record(c.Now.Sub(a.sentAt), r.policy.HedgePercentile)
+		r.service.latency.record(c.Now, c.Now.Sub(a.sentAt), r.policy.HedgePercentile)
 	}
 }
