--- a/measure/load/tier.go
+++ b/measure/load/tier.go
@@ -7,6 +7,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +25,9 @@
 	// readyTimeout bounds the start of a tier.
 	readyTimeout = 30 * time.Second
 	pollInterval = 50 * time.Millisecond
+	// firstPort and ports are the range of the daemons' ports.
+	firstPort = 12000
+	ports     = 18000
 	// signer signs the bundle alone; the quorum is one.
 	signer = "ana"
 )
@@ -160,7 +164,7 @@
 func vmName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
 func (t *tier) startDaemon(i int) error {
-	ports, err := freeAddresses(3)
+	listen, err := freeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -171,7 +175,7 @@
 platform: {address: %q, calls_per_second: 20}
 operators: {quorum: 1, keys: [{name: %s, public_key: %q}]}
 log: {level: info, file: %q}
-`, vmName(i), t.setup.Domains[i%len(t.setup.Domains)], ports[0], ports[1], ports[2], t.platform,
+`, vmName(i), t.setup.Domains[i%len(t.setup.Domains)], listen[0], listen[1], listen[2], t.platform,
 		signer, base64.StdEncoding.EncodeToString(t.public), filepath.Join(t.dir, vmName(i)+".log"))
 	file := filepath.Join(t.dir, vmName(i)+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
@@ -182,24 +186,28 @@
 		return err
 	}
 	t.daemons = append(t.daemons, p)
-	t.callers = append(t.callers, ports[0])
-	t.admins = append(t.admins, ports[2])
+	t.callers = append(t.callers, listen[0])
+	t.admins = append(t.admins, listen[2])
 	return nil
 }
 
 // freeAddresses returns loopback addresses that nothing listens on. Daemons
-// need theirs beforehand.
+// need theirs beforehand, so the ports are below those that the system gives to
+// outgoing connections, which could take them in between.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", loopback)
+	for range 100 * n {
+		port := firstPort + rand.IntN(ports)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+			continue
 		}
 		defer l.Close()
-		list = append(list, l.Addr().String())
+		if list = append(list, l.Addr().String()); len(list) == n {
+			return list, nil
+		}
 	}
-	return list, nil
+	return nil, fmt.Errorf("%w: no free ports", ErrProcess)
 }
 
 // waitReady waits until every daemon serves and every server has an owner.
