Test the programs as separate processes

Nothing ran the programs as operators do: a signed roll-out, queries through three daemons, lost backend servers, SIGTERM and the replay of a trace. A testscript now does, with the platform, 8 backend servers and 3 daemons as processes; answers are compared with a direct search. Ports come from below the range of outgoing connections, so that nothing takes them meanwhile.

The mains of pistachiousherd and standin move to pkg/daemon and standin/command, so that the test binary can be each program.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,23 +3,9 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/google/subcommands"
+	"github.com/pistachiousher/pistachiousher/standin/command"
 )
 
-func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&platformCommand{}, "")
-	subcommands.Register(&backendCommand{}, "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	status := subcommands.Execute(ctx)
-	stop()
-	os.Exit(int(status))
-}
+func main() { os.Exit(command.Main(os.Args[1:])) }
--- a/standin/cluster/expect.go
+++ b/standin/cluster/expect.go
@@ -32,32 +32,36 @@
 // Documents returns the documents that the backend servers hold.
 func (c *Cluster) Documents() []backend.Document { return slices.Clone(c.docs) }
 
-// Expect searches the documents of a service directly: every shard of the last
-// layout, or only the one whose range holds key if key is not empty. It
-// computes scores from the documents themselves and shares no code with the
-// backend servers or the daemons. Shards named as missing are left out, as from
-// a partial answer.
+// Expect searches the documents of a service directly; see Search.
 func (c *Cluster) Expect(service model.ServiceName, query string, topK int, key string, missing ...model.ShardName) ([]Item, error) {
 	s, ok := c.Bundle().Service(service)
 	if !ok {
 		return nil, fmt.Errorf("%w: no service %s", ErrOptions, service)
 	}
+	return Search(&s.Layouts[len(s.Layouts)-1], c.docs, query, topK, key, missing...), nil
+}
+
+// Search searches documents directly in every shard of a layout, or only in the
+// one whose range holds key if key is not empty. It computes scores from the
+// documents themselves and shares no code with the backend servers or the
+// daemons. Shards named as missing are left out, as from a partial answer.
+func Search(l *model.Layout, docs []backend.Document, query string, topK int, key string, missing ...model.ShardName) []Item {
 	var all []Item
-	for _, shard := range s.Layouts[len(s.Layouts)-1].Shards {
+	for _, shard := range l.Shards {
 		if slices.Contains(missing, shard.Name) || (key != "" && !shard.Holds(key)) {
 			continue
 		}
-		all = append(all, searchShard(c.shardDocuments(shard), query)...)
+		all = append(all, searchShard(documentsOf(shard, docs), query)...)
 	}
 	slices.SortFunc(all, func(a, b Item) int {
 		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
 	})
-	return all[:min(topK, len(all))], nil
+	return all[:min(topK, len(all))]
 }
 
-func (c *Cluster) shardDocuments(s model.Shard) []backend.Document {
+func documentsOf(s model.Shard, docs []backend.Document) []backend.Document {
 	var held []backend.Document
-	for _, d := range c.docs {
+	for _, d := range docs {
 		if s.Holds(d.Key) {
 			held = append(held, d)
 		}
--- a/cmd/standin/backend.go
+++ b/standin/command/backend.go
@@ -1,4 +1,4 @@
-package main
+package command
 
 import (
 	"context"
