Let a backend server name its region

Cause: every region has an epoch of its own that listed all servers of the bundle, so two regions would have owned each server. Change: the epoch lists the servers of its region and those without one.

--- a/pkg/bundle/diff.go
+++ b/pkg/bundle/diff.go
@@ -118,6 +118,7 @@
 
 func (d *differ) server(path string, a, b model.BackendServer) {
 	d.value(path+": failure_domain", string(a.FailureDomain), string(b.FailureDomain))
+	d.value(path+": region", a.Region, b.Region)
 	d.value(path+": address", a.Address, b.Address)
 	d.value(path+": slots", fmt.Sprint(a.Slots), fmt.Sprint(b.Slots))
 	d.value(path+": connections", fmt.Sprint(a.Connections), fmt.Sprint(b.Connections))
--- a/pkg/bundle/digest.go
+++ b/pkg/bundle/digest.go
@@ -56,6 +56,7 @@
 	canonicalServer struct {
 		Name          model.ServerName    `json:"name"`
 		FailureDomain model.FailureDomain `json:"failure_domain"`
+		Region        string              `json:"region,omitempty"`
 		Address       string              `json:"address"`
 		Slots         int                 `json:"slots"`
 		Connections   int                 `json:"connections"`
@@ -88,7 +89,7 @@
 	}
 	for _, s := range b.Servers {
 		c.Servers = append(c.Servers, canonicalServer{
-			Name: s.Name, FailureDomain: s.FailureDomain, Address: s.Address,
+			Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, Address: s.Address,
 			Slots: s.Slots, Connections: s.Connections, ConnectCost: s.ConnectCost,
 			Cold: canonicalCold(s.Cold),
 		})
--- a/pkg/bundle/read.go
+++ b/pkg/bundle/read.go
@@ -116,10 +116,11 @@
 }
 
 func server(n yamldoc.Node) model.BackendServer {
-	m := n.Map("name", "failure_domain", "address", "slots", "connections", "connect_cost", "cold")
+	m := n.Map("name", "failure_domain", "region", "address", "slots", "connections", "connect_cost", "cold")
 	s := model.BackendServer{
 		Name:          model.ServerName(m.Need("name").Name()),
 		FailureDomain: model.FailureDomain(m.Need("failure_domain").Name()),
+		Region:        m.Get("region").Name(),
 		Address:       m.Need("address").Address(),
 		Slots:         int(m.Need("slots").Int(0, 1, maxCount)),
 		Connections:   int(m.Need("connections").Int(0, 1, maxCount)),
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -184,7 +184,7 @@
 		Number:  1,
 		Members: []model.Member{s.member()},
 		Panel:   []model.MemberRef{s.self},
-		Servers: homesOf(s.view.Bundle()),
+		Servers: homesOf(s.view.Bundle(), s.cfg.Region),
 	}
 }
 
@@ -208,7 +208,7 @@
 		Servers:           cur.Servers,
 	}
 	if b := s.view.Bundle(); b != nil && s.HasLease(now) {
-		next.Servers = homesOf(b)
+		next.Servers = homesOf(b, s.cfg.Region)
 	}
 	next.Panel = s.nextPanel(members)
 	if len(next.Panel) == 0 {
@@ -315,12 +315,16 @@
 	return append(members, m)
 }
 
-func homesOf(b *model.Bundle) []model.ServerHome {
+// homesOf returns the servers that the region's daemons may own, by name.
+func homesOf(b *model.Bundle, region string) []model.ServerHome {
 	if b == nil {
 		return nil
 	}
 	homes := make([]model.ServerHome, 0, len(b.Servers))
 	for _, srv := range b.Servers {
+		if srv.Region != "" && srv.Region != region {
+			continue
+		}
 		homes = append(homes, model.ServerHome{Server: srv.Name, FailureDomain: srv.FailureDomain})
 	}
 	slices.SortFunc(homes, func(a, b model.ServerHome) int { return cmp.Compare(a.Server, b.Server) })
--- a/pkg/model/bundle.go
+++ b/pkg/model/bundle.go
@@ -100,6 +100,10 @@
 type BackendServer struct {
 	Name          ServerName
 	FailureDomain FailureDomain
+	// Region limits the server's owners to the daemons of one region. Empty is
+	// right only where all daemons are of one region, because every region has
+	// an epoch, and so an owner, of its own.
+	Region string
 	// Address is host:port with an IP number.
 	Address     string
 	Slots       int
