--- a/pkg/core/points_test.go
+++ b/pkg/core/points_test.go
@@ -111,6 +111,8 @@
 			s.rollOut(testBundle(2, 2))
 		}
 	}
+	// Owners read the status of servers once a second, and reports spread.
+	s.load(3 * time.Second)
 	s.finish(600)
 	if s.oracle.layouts["l2"] == 0 || s.oracle.versions < 3 {
 		t.Fatalf("layouts %v and %d index versions answered: the scenario did not change snapshots", s.oracle.layouts, s.oracle.versions)
