--- a/pkg/logevent/documents.go
+++ b/pkg/logevent/documents.go
@@ -14,10 +14,10 @@
 
 // Log events 1300 to 1399, of the component documents.
 var documentsEvents = []Def{
-	{DocumentInForce, "document_in_force", log.InfoLevel, "a new version of a document is in effect"},
-	{DocumentIgnored, "document_ignored", log.WarnLevel, "a copy of a document is older than the one in effect and was ignored"},
-	{DocumentFetchFailed, "document_fetch_failed", log.WarnLevel, "a document could not be read or was rejected by its checks"},
-	{DocumentConfirmed, "document_confirmed", log.InfoLevel, "the platform confirmed that the copy read from it is current"},
-	{DocumentConfirmFailed, "document_confirm_failed", log.WarnLevel, "the platform did not confirm the copy read from it; it is read again"},
-	{DocumentsReady, "documents_ready", log.InfoLevel, "this daemon has the highest versions that it was offered at the start"},
+	{DocumentInForce, "document_in_force", log.InfoLevel, "A new version of a document is in effect."},
+	{DocumentIgnored, "document_ignored", log.WarnLevel, "A copy of a document is older than the one in effect and was ignored."},
+	{DocumentFetchFailed, "document_fetch_failed", log.WarnLevel, "A document could not be read or was rejected by its checks."},
+	{DocumentConfirmed, "document_confirmed", log.InfoLevel, "The platform confirmed that the copy read from it is current."},
+	{DocumentConfirmFailed, "document_confirm_failed", log.WarnLevel, "The platform did not confirm the copy read from it; it is read again."},
+	{DocumentsReady, "documents_ready", log.InfoLevel, "This daemon has the highest versions that it was offered at the start."},
 }
