Use every address of the platform that the settings name

Cause: only the first address was used, so the settings promised what the daemon did not do. Change: a failed call makes the next ones go to the next address; writes are still never repeated by the client.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -39,9 +39,9 @@
 	Region string
 	// Listen are the addresses to listen on; port 0 takes a free port.
 	Listen Addresses
-	// Platform is the base URL of the platform; PlatformRate and PlatformBurst
+	// Platform are the base URLs of the platform; PlatformRate and PlatformBurst
 	// are its budget in calls per second and calls at once.
-	Platform      string
+	Platform      []string
 	PlatformRate  float64
 	PlatformBurst int
 	// NewCore makes the reducer once the addresses are known.
@@ -76,7 +76,7 @@
 		return fmt.Errorf("%w: no VM name", ErrOptions)
 	case o.Region == "":
 		return fmt.Errorf("%w: no region", ErrOptions)
-	case o.Platform == "":
+	case len(o.Platform) == 0:
 		return fmt.Errorf("%w: no platform URL", ErrOptions)
 	case o.PlatformRate <= 0 || o.PlatformBurst <= 0:
 		return fmt.Errorf("%w: no budget of platform calls", ErrOptions)
@@ -146,7 +146,7 @@
 	}
 	d.log = runtime.NewLogWriter(d.options.LogOutput, o.LogLevel, d.metrics.LogEvent)
 	d.platform = platform.New(platform.Options{
-		URL:    o.Platform,
+		URLs:   o.Platform,
 		Rate:   o.PlatformRate,
 		Burst:  o.PlatformBurst,
 		OnCall: d.metrics.PlatformCall,
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -85,7 +85,7 @@
 		done <- Run(ctx, Options{
 			VM: "vm1", Region: "r1",
 			Listen:       Addresses{Caller: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"},
-			Platform:     platform.URL,
+			Platform:     []string{platform.URL},
 			PlatformRate: 10, PlatformBurst: 10,
 			NewCore:   func(Addresses) (runtime.Core, error) { return new(fakeCore), nil },
 			Decode:    func(event.DocumentKind, []byte) (event.Document, error) { return event.Document{}, errors.New("none") },
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -33,7 +33,7 @@
 		VM:            s.VM,
 		Region:        s.Region,
 		Listen:        Addresses{Caller: s.Listen.Caller, Peer: s.Listen.Peer, Admin: s.Listen.Admin},
-		Platform:      "http://" + s.Platform.Addresses[0],
+		Platform:      urls(s.Platform.Addresses),
 		PlatformRate:  s.Platform.CallsPerSecond,
 		PlatformBurst: platformBurst,
 		NewCore:       newCore(s, &recorder),
@@ -60,6 +60,14 @@
 	return o, files, nil
 }
 
+func urls(addresses []string) []string {
+	list := make([]string, len(addresses))
+	for i, a := range addresses {
+		list[i] = "http://" + a
+	}
+	return list
+}
+
 // closers closes in order and returns the first error.
 type closers []io.Closer
 
--- a/pkg/platform/call.go
+++ b/pkg/platform/call.go
@@ -46,7 +46,7 @@
 func (c *Client) roundTrip(ctx context.Context, in call) (reply, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), in.method, c.url+in.path, nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), in.method, c.url()+in.path, nil)
 	if err != nil {
 		return reply{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
@@ -99,6 +99,7 @@
 		c.onCall(operation, "canceled")
 	default:
 		c.pause.failed(time.Now())
+		c.current.Add(1)
 		c.onCall(operation, "failed")
 	}
 }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -31,8 +31,9 @@
 
 // Options configure a Client.
 type Options struct {
-	// URL is the base URL of the platform, without a path.
-	URL string
+	// URLs are the base URLs of the platform, without a path; at least one. A
+	// call that fails makes the next ones go to the next URL.
+	URLs []string
 	// Rate is the budget in calls per second, and Burst the calls that may be
 	// made at once.
 	Rate  float64
@@ -43,7 +44,8 @@
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	url     string
+	urls    []string
+	current atomic.Uint64
 	http    *http.Client
 	limiter *rate.Limiter
 	pause   backoff
@@ -59,14 +61,21 @@
 	if onCall == nil {
 		onCall = func(string, string) {}
 	}
+	urls := make([]string, len(o.URLs))
+	for i, u := range o.URLs {
+		urls[i] = strings.TrimSuffix(u, "/")
+	}
 	return &Client{
-		url:     strings.TrimSuffix(o.URL, "/"),
+		urls:    urls,
 		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4}},
 		limiter: rate.NewLimiter(rate.Limit(o.Rate), o.Burst),
 		onCall:  onCall,
 	}
 }
 
+// url returns the base URL in use.
+func (c *Client) url() string { return c.urls[c.current.Load()%uint64(len(c.urls))] }
+
 // Calls returns the number of calls sent to the platform; a watch counts as
 // one per poll.
 func (c *Client) Calls() uint64 { return c.calls.Load() }
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -14,7 +14,7 @@
 
 func newClient(t *testing.T, url string) *Client {
 	t.Helper()
-	c := New(Options{URL: url, Rate: 1000, Burst: 1000})
+	c := New(Options{URLs: []string{url}, Rate: 1000, Burst: 1000})
 	t.Cleanup(c.Close)
 	return c
 }
@@ -186,3 +186,22 @@
 		t.Errorf("second watch: changed %v, %v", changed, err)
 	}
 }
+
+// Guards against a daemon that stays with an address of the platform that does
+// not answer although another one does.
+func TestNextAddressAfterFailure(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Write([]byte(`{"vms":[{"name":"vm1","state":"live"}]}`))
+	}))
+	defer live.Close()
+	c := New(Options{URLs: []string{gone.URL, live.URL}, Rate: 1000, Burst: 1000})
+	defer c.Close()
+	if _, err := c.VMs(t.Context()); !errors.Is(err, ErrUnavailable) {
+		t.Fatalf("first address: %v", err)
+	}
+	if vms, err := c.VMs(t.Context()); err != nil || len(vms) != 1 {
+		t.Fatalf("second address: %v, %v", vms, err)
+	}
+}
