query: refuse queries of an overloaded service before the fan-out

Cause: at 2x every shard shed half of its sub-requests. Change: a query is refused as not run with a probability that rises with the queue time that recent queries of its class met at their least loaded shard, from 40 ms (or an eighth of the time to answer, if shorter) to four times as much. One slow or dead shard does not throttle the service.

--- a/pkg/core/query/admit.go
+++ b/pkg/core/query/admit.go
@@ -106,6 +106,13 @@
 	if svc.Policy.MaxDeadline > 0 {
 		req.Deadline = min(req.Deadline, c.Now.Add(svc.Policy.MaxDeadline))
 	}
+	left := req.Deadline.Sub(c.Now)
+	if svc.Policy.Mode == model.TailFirst && svc.Policy.Target > 0 {
+		left = min(left, svc.Policy.Target)
+	}
+	if s.service(svc.Name).throttles[req.Class].refuses(c.Now, left, c.Rand) {
+		return nil, notRun(c, "the service is overloaded")
+	}
 	return svc, nil
 }
 
@@ -173,6 +180,8 @@
 		policy:  &svc.Policy,
 		service: s.service(svc.Name),
 		arrived: c.Now,
+
+		leastQueue: math.MaxInt64,
 	}
 	r.setDeadlines(c.Now)
 	r.timer = timer{index: -1, run: r}
--- a/pkg/core/query/finish.go
+++ b/pkg/core/query/finish.go
@@ -16,6 +16,7 @@
 	if refusal == nil {
 		answer = r.answer()
 	}
+	r.countQueued(c.Now)
 	s.logFinish(c, r, answer, refusal)
 	if !r.abandoned {
 		c.out.Add(effect.ReplyQuery{Token: r.token, Answer: answer, Refusal: refusal})
--- a/pkg/core/query/result.go
+++ b/pkg/core/query/result.go
@@ -47,6 +47,7 @@
 	}
 	st.results++
 	s.observeWait(c.Now, res)
+	r.noteQueue(res)
 	s.takeResult(c, r, a, res)
 	s.settle(c, r)
 }
--- a/pkg/core/query/run.go
+++ b/pkg/core/query/run.go
@@ -43,6 +43,11 @@
 	left    bool
 	unknown bool
 
+	// leastQueue is the shortest queue time of an answered shard, and shed is
+	// whether an owner refused a sub-request for want of room or time.
+	leastQueue time.Duration
+	shed       bool
+
 	// retryAfter is the longest one that a backend server asked for.
 	retryAfter time.Duration
 
--- a/pkg/core/query/service.go
+++ b/pkg/core/query/service.go
@@ -9,6 +9,8 @@
 	latency latency
 	hedges  bucket
 	retries bucket
+
+	throttles [model.NumClasses]throttle
 }
 
 func (s *State) service(name model.ServiceName) *service {
--- /dev/null
+++ b/pkg/core/query/throttle_test.go
@@ -0,0 +1,54 @@
+package query
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// runQueued runs queries whose sub-results waited as given by shard, and
+// returns how many were refused before their fan-out.
+func runQueued(h *harness, n int, queue func(model.ShardName) time.Duration) (refused int) {
+	for i := range n {
+		h.meta.Rand = uint64(i) << 57
+		before := h.s.Counts().Admitted
+		h.query(fmt.Sprint("q", i), nil)
+		if h.s.Counts().Admitted == before {
+			refused++
+			h.subs()
+			continue
+		}
+		for _, x := range h.subs() {
+			r := x.result(model.OutcomeOK)
+			r.Result.QueueTime = queue(x.sub.Shard)
+			h.post(r)
+		}
+		h.advance(ms)
+	}
+	return refused
+}
+
+// Guards against fanning out queries of a service whose queues are all long,
+// against refusing for one long queue, and against refusing for ever.
+func TestThrottle(t *testing.T) {
+	h := newHarness(t, 5)
+	one := func(s model.ShardName) time.Duration {
+		if s == "sh00" {
+			return time.Second
+		}
+		return 0
+	}
+	if n := runQueued(h, 100, one); n > 0 {
+		t.Errorf("%d queries refused because of one shard", n)
+	}
+	all := func(model.ShardName) time.Duration { return time.Second }
+	if n := runQueued(h, 100, all); n < 50 || n == 100 {
+		t.Errorf("%d of 100 queries of an overloaded service refused", n)
+	}
+	h.advance(10 * waitHalfLife)
+	if n := runQueued(h, 100, one); n > 0 {
+		t.Errorf("%d queries refused after the overload", n)
+	}
+}
