--- a/measure/load/table.go
+++ b/measure/load/table.go
@@ -18,8 +18,8 @@
 		fmt.Fprintf(w, " %s %.0f", name, r.Bears[name])
 	}
 	fmt.Fprint(w, "\n\n")
-	fmt.Fprintln(w, "| load | policy | p50 ms | p99 ms | p99.9 ms | complete | coverage | extra load | goodput/s | refused | failed | over slots | fall-overs | CPU µs/leaf call |")
-	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(w, "| load | policy | p50 ms | p99 ms | p99.9 ms | complete | coverage | extra attempts | extra runs | goodput/s | refused | failed | over slots | fall-overs | CPU µs/leaf call |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, load := range r.loads() {
 		for _, v := range Variants {
 			if cells := r.pick(v.Name, load); len(cells) > 0 {
@@ -77,15 +77,26 @@
 		over += c.Counts.Violations
 		fallOvers += c.Counts.FallOvers
 	}
-	fmt.Fprintf(w, "| %gx | %s | %.1f | %.1f | %.1f | %.2f%% | %.2f%% | %.2f%% | %.0f | %.2f%% | %.2f%% | %d | %d | %.0f |\n",
+	fmt.Fprintf(w, "| %gx | %s | %.1f | %.1f | %.1f | %.2f%% | %.2f%% | %.2f%% | %.2f%% | %.0f | %.2f%% | %.2f%% | %d | %d | %.0f |\n",
 		load, name, percentile(50), percentile(99), percentile(99.9), count(loadgen.Complete),
 		100*median(cells, func(c Cell) float64 { return c.Report.Coverage() }),
 		100*median(cells, func(c Cell) float64 { return c.Report.ExtraLoad() }),
+		100*median(cells, extraRuns),
 		median(cells, func(c Cell) float64 { return c.Report.Goodput() }),
 		count(loadgen.NotRun), count(loadgen.Failed), over, fallOvers,
 		median(cells, cpuPerCall))
 }
 
+// extraRuns is the work of the backend servers beyond one run per answered
+// shard, as a fraction. Unlike the extra attempts it has none that an owner
+// refused, and it has runs whose result came too late.
+func extraRuns(c Cell) float64 {
+	if c.Report.Answered == 0 {
+		return 0
+	}
+	return float64(c.Counts.Ran)/float64(c.Report.Answered) - 1
+}
+
 // cpuPerCall is the daemons' processor time per request that ran at a backend
 // server, in microseconds.
 func cpuPerCall(c Cell) float64 {
