--- a/pkg/core/query/retry.go
+++ b/pkg/core/query/retry.go
@@ -20,17 +20,9 @@
 func (r *run) mayRetry(o model.Outcome) bool { return r.req.Idempotent || o.NotSent() }
 
 // isFree reports whether a retry after the outcome is outside the budget: the
-// attempt never reached a server, so the next one is no extra load on one. An
-// owner that expects to be too late refuses at once; the next attempt is free
-// only at a replica that was not tried yet, which bounds them.
-func isFree(o model.Outcome, p *pick) bool {
-	switch o {
-	case model.OutcomeNotOwner, model.OutcomeUnreachable, model.OutcomeDrained:
-		return true
-	case model.OutcomeExpired:
-		return p.tries == 0
-	}
-	return false
+// attempt never reached a queue, so the next one is no extra load on a server.
+func isFree(o model.Outcome) bool {
+	return o == model.OutcomeNotOwner || o == model.OutcomeUnreachable || o == model.OutcomeDrained
 }
 
 // retry decides what follows an attempt without a result, the last live one of
@@ -103,7 +95,7 @@
 		s.picks = append(s.picks, p)
 		return
 	}
-	if !isFree(sh.last, &p) && !r.service.retries.take() {
+	if !isFree(sh.last) && !r.service.retries.take() {
 		s.wait(c, r, p.shard)
 		return
 	}
