--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -132,6 +132,10 @@
 		return readVersionGone(body)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return readShed(resp)
+	case http.StatusGatewayTimeout:
+		// The server stopped at the deadline that it was given, which is not a
+		// fault of its own; it may have run.
+		return failure(model.OutcomeTimeout, fmt.Errorf("backend: status %d", resp.StatusCode))
 	}
 	return failure(model.OutcomeFailed, fmt.Errorf("backend: status %d", resp.StatusCode))
 }
