Test tiers of processes while parts of them fail

standin/processes starts the platform, backend servers and daemons as processes of their own, keeps a load on them and judges a run by the servers' logs. test/process kills, pauses and replaces daemons, takes the platform away or slows it, freezes and cools servers and lets operators race.

The bounds are the targets of the design.

--- /dev/null
+++ b/standin/processes/operate.go
@@ -0,0 +1,121 @@
+package processes
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/bundle"
+	"github.com/pistachiousher/pistachiousher/pkg/controls"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/operator"
+)
+
+// Propose proposes and signs a bundle.
+func (t *Tier) Propose(ctx context.Context, b Bundle) error {
+	e, err := bundle.NewEnvelope("bundle", b.yaml(t.address))
+	if err != nil {
+		return fmt.Errorf("processes: bundle: %w", err)
+	}
+	if _, err := t.operator.Propose(ctx, e); err != nil {
+		return fmt.Errorf("processes: propose: %w", err)
+	}
+	if _, err := t.operator.Sign(ctx, b.Version, e.Digest, Signer, t.private); err != nil {
+		return fmt.Errorf("processes: sign: %w", err)
+	}
+	return nil
+}
+
+// RollOut proposes, signs and activates a bundle based on an active version.
+func (t *Tier) RollOut(ctx context.Context, b Bundle, base uint64) error {
+	if err := t.Propose(ctx, b); err != nil {
+		return err
+	}
+	return t.Activate(ctx, b.Version, base)
+}
+
+// Activate activates a signed proposal.
+func (t *Tier) Activate(ctx context.Context, version, base uint64) error {
+	r := operator.RollOut{Version: version, Base: base, Keys: map[string]ed25519.PublicKey{Signer: t.public}, Quorum: 1}
+	if _, err := t.operator.RollOut(ctx, r); err != nil {
+		return fmt.Errorf("processes: roll out: %w", err)
+	}
+	return nil
+}
+
+// ActiveBundle returns the version of the active bundle on the platform.
+func (t *Tier) ActiveBundle(ctx context.Context) (uint64, error) {
+	b, err := t.operator.ActiveBundle(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return b.Version, nil
+}
+
+// TakeOut takes a failure domain out of service.
+func (t *Tier) TakeOut(ctx context.Context, d model.FailureDomain) error {
+	b, err := t.operator.ActiveBundle(ctx)
+	if err != nil {
+		return err
+	}
+	return t.change(ctx, func(now *model.Controls) (*model.Controls, bool, error) {
+		return controls.TakeOut(now, b, d, newChange())
+	})
+}
+
+// BringBack puts a failure domain back into service.
+func (t *Tier) BringBack(ctx context.Context, d model.FailureDomain) error {
+	return t.change(ctx, func(now *model.Controls) (*model.Controls, bool, error) {
+		return controls.BringBack(now, d, newChange())
+	})
+}
+
+func (t *Tier) change(ctx context.Context, change operator.ControlsChange) error {
+	if _, _, err := t.operator.ChangeControls(ctx, change); err != nil {
+		return fmt.Errorf("processes: controls: %w", err)
+	}
+	return nil
+}
+
+func newChange() controls.Change {
+	return controls.Change{Entry: model.ControlEntry{Author: Signer, Reason: "maintenance", Since: time.Now().UnixMilli()}}
+}
+
+// Command runs the operators' command line and returns its exit code and
+// output.
+func (t *Tier) Command(ctx context.Context, args ...string) (int, string, error) {
+	out, err := exec.CommandContext(ctx, t.program("pistachiousher"), args...).CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode(), string(out), nil
+	}
+	if err != nil {
+		return 0, "", fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	return 0, string(out), nil
+}
+
+// Platform returns the address of the platform.
+func (t *Tier) Platform() string { return t.platform }
+
+// LogTail returns the last bytes of every daemon's log, to explain a failure.
+func (t *Tier) LogTail(bytes int) string {
+	files, err := filepath.Glob(filepath.Join(t.options.Dir, "entry-*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	text := ""
+	for _, f := range files {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			continue
+		}
+		text += filepath.Base(f) + ":\n" + string(raw[max(0, len(raw)-bytes):]) + "\n"
+	}
+	return text
+}
--- /dev/null
+++ b/standin/processes/tier.go
@@ -0,0 +1,383 @@
+// Package processes starts a query tier whose every part is a process of its
+// own on loopback: the platform stand-in, backend stand-ins and daemons. It
+// lets these processes fail, keeps a load on them, and judges a run by the
+// backend servers' own logs. Tests and measurements use it.
+package processes
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/pistachiousher/pistachiousher/pkg/daemon"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/operator"
+	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/platform"
+)
+
+const (
+	// Signer signs bundles alone; the quorum is one.
+	Signer = "ana"
+	// CallsPerSecond is each daemon's budget of platform calls, the default of
+	// the settings.
+	CallsPerSecond = 3
+
+	readyTimeout = 15 * time.Second
+	pollInterval = 50 * time.Millisecond
+	// controlTimeout bounds a call to a stand-in or an admin address, which
+	// may belong to a stopped process.
+	controlTimeout = 2 * time.Second
+)
+
+// Options describe a Tier.
+type Options struct {
+	// Bin has the programs that Build made, and Dir gets logs and traces.
+	Bin, Dir string
+	// Daemons that start, spread over Domains.
+	Daemons int
+	// Trace makes each daemon record a trace in Dir.
+	Trace bool
+}
+
+// Daemon is one entry VM. Its addresses and its VM's name stay when its process
+// is started again.
+type Daemon struct {
+	VM                  model.VM
+	Domain              model.FailureDomain
+	Caller, peer, Admin string
+	process             *process
+	runs                int
+}
+
+// Tier is a running query tier. Its methods must be called from one goroutine.
+type Tier struct {
+	options  Options
+	log      *os.File
+	http     *http.Client
+	platform string
+	operator *operator.Client
+	public   ed25519.PublicKey
+	private  ed25519.PrivateKey
+	parts    []*process
+	servers  map[model.ServerName]*process
+	address  map[model.ServerName]string
+	Daemons  []*Daemon
+}
+
+// Start starts a tier with bundle version 1 and waits until it serves.
+func Start(ctx context.Context, o Options) (*Tier, error) {
+	log, err := os.Create(filepath.Join(o.Dir, "processes.log"))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	t := &Tier{
+		options: o, log: log, http: &http.Client{Timeout: controlTimeout},
+		servers: make(map[model.ServerName]*process), address: make(map[model.ServerName]string),
+	}
+	if err := t.start(ctx); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Tier) start(ctx context.Context) error {
+	if err := t.startPlatform(); err != nil {
+		return err
+	}
+	for _, s := range Servers() {
+		if err := t.startServer(s); err != nil {
+			return err
+		}
+	}
+	if err := t.RollOut(ctx, Bundle{Version: 1}, 0); err != nil {
+		return err
+	}
+	for range t.options.Daemons {
+		if err := t.addDaemon(); err != nil {
+			return err
+		}
+	}
+	if err := t.listVMs(ctx); err != nil {
+		return err
+	}
+	for i := range t.Daemons {
+		if err := t.StartDaemon(i); err != nil {
+			return err
+		}
+	}
+	return t.WaitReady(ctx)
+}
+
+func (t *Tier) startPlatform() error {
+	var err error
+	if t.public, t.private, err = ed25519.GenerateKey(nil); err != nil {
+		return fmt.Errorf("%w: operator key: %w", ErrProcess, err)
+	}
+	p, addresses, err := start(t.log, 1, t.program("standin"), "platform", "-listen", loopback)
+	if err != nil {
+		return err
+	}
+	t.parts = append(t.parts, p)
+	t.platform = addresses[0]
+	t.operator = operator.NewClient([]string{t.platform})
+	return nil
+}
+
+func (t *Tier) program(name string) string { return filepath.Join(t.options.Bin, name) }
+
+func (t *Tier) startServer(s Server) error {
+	raw, err := yaml.Marshal(map[string][]backend.Config{"backends": {s.config()}})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	file := filepath.Join(t.options.Dir, string(s.Name)+".yaml")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	p, addresses, err := start(t.log, 1, t.program("standin"), "backend", "-config", file)
+	if err != nil {
+		return err
+	}
+	t.parts = append(t.parts, p)
+	t.servers[s.Name], t.address[s.Name] = p, addresses[0]
+	return nil
+}
+
+// addDaemon chooses the addresses of a further daemon.
+func (t *Tier) addDaemon() error {
+	listen, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	n := len(t.Daemons)
+	t.Daemons = append(t.Daemons, &Daemon{
+		VM:     model.VM(fmt.Sprintf("entry-%d", n+1)),
+		Domain: Domains[n%len(Domains)],
+		Caller: listen[0], peer: listen[1], Admin: listen[2],
+	})
+	return nil
+}
+
+// StartDaemon starts the process of daemon i, which does not run.
+func (t *Tier) StartDaemon(i int) error {
+	d := t.Daemons[i]
+	d.runs++
+	file := filepath.Join(t.options.Dir, string(d.VM)+".yaml")
+	if err := os.WriteFile(file, []byte(t.settings(d)), 0o600); err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	var err error
+	d.process, _, err = start(t.log, 0, t.program("pistachiousherd"), "-settings", file)
+	return err
+}
+
+func (t *Tier) settings(d *Daemon) string {
+	trace := ""
+	if t.options.Trace {
+		trace = t.TraceFile(d)
+	}
+	var seeds []string
+	for _, other := range t.Daemons {
+		if other != d {
+			seeds = append(seeds, fmt.Sprintf("%q", other.peer))
+		}
+	}
+	return fmt.Sprintf(`vm: %s
+region: region-1
+failure_domain: %s
+listen: {caller: %q, peer: %q, admin: %q}
+platform: {address: %q, calls_per_second: %d}
+seeds: [%s]
+operators: {quorum: 1, keys: [{name: %s, public_key: %q}]}
+log: {level: info, file: %q}
+trace: {file: %q}
+`, d.VM, d.Domain, d.Caller, d.peer, d.Admin, t.platform, CallsPerSecond, strings.Join(seeds, ", "),
+		Signer, base64.StdEncoding.EncodeToString(t.public),
+		filepath.Join(t.options.Dir, fmt.Sprintf("%s.%d.log", d.VM, d.runs)), trace)
+}
+
+// TraceFile returns the trace of the daemon's present process.
+func (t *Tier) TraceFile(d *Daemon) string {
+	return filepath.Join(t.options.Dir, fmt.Sprintf("%s.%d.trace", d.VM, d.runs))
+}
+
+// KillDaemon kills the process of daemon i.
+func (t *Tier) KillDaemon(i int) { t.Daemons[i].process.kill() }
+
+// StopDaemon ends the process of daemon i gracefully.
+func (t *Tier) StopDaemon(i int) error { return t.Daemons[i].process.stop() }
+
+// PauseDaemon stops the process of daemon i without ending it; ResumeDaemon
+// lets it go on.
+func (t *Tier) PauseDaemon(i int) { t.Daemons[i].process.signal(syscall.SIGSTOP) }
+
+// ResumeDaemon ends a pause.
+func (t *Tier) ResumeDaemon(i int) { t.Daemons[i].process.signal(syscall.SIGCONT) }
+
+// PauseServer stops the process of a backend server without ending it.
+func (t *Tier) PauseServer(name model.ServerName) { t.servers[name].signal(syscall.SIGSTOP) }
+
+// ResumeServer ends a pause.
+func (t *Tier) ResumeServer(name model.ServerName) { t.servers[name].signal(syscall.SIGCONT) }
+
+// Callers returns the addresses for callers of all daemons.
+func (t *Tier) Callers() []string {
+	var list []string
+	for _, d := range t.Daemons {
+		list = append(list, d.Caller)
+	}
+	return list
+}
+
+// Status asks daemon i for its summary.
+func (t *Tier) Status(ctx context.Context, i int) (daemon.Status, error) {
+	var s daemon.Status
+	err := t.get(ctx, t.Daemons[i].Admin, "/statusz", &s)
+	return s, err
+}
+
+// WaitReady waits until every daemon serves and every server has an owner.
+func (t *Tier) WaitReady(ctx context.Context) error {
+	return poll(ctx, readyTimeout, func() error {
+		owned := 0
+		for i, d := range t.Daemons {
+			s, err := t.Status(ctx, i)
+			if err != nil {
+				return err
+			}
+			if !s.Serving {
+				return fmt.Errorf("%s does not serve: %s", d.VM, s.Reason)
+			}
+			owned += s.OwnedServers
+		}
+		if owned != len(t.servers) {
+			return fmt.Errorf("%d of %d backend servers have an owner", owned, len(t.servers))
+		}
+		return nil
+	})
+}
+
+// WaitOwner waits until daemon i owns a backend server.
+func (t *Tier) WaitOwner(ctx context.Context, i int, limit time.Duration) error {
+	return poll(ctx, limit, func() error {
+		s, err := t.Status(ctx, i)
+		if err == nil && s.OwnedServers == 0 {
+			err = fmt.Errorf("%s owns nothing", t.Daemons[i].VM)
+		}
+		return err
+	})
+}
+
+// poll runs f until it succeeds.
+func poll(ctx context.Context, limit time.Duration, f func() error) error {
+	for end := time.Now().Add(limit); ; {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%w: after %v: %w", ErrProcess, limit, err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// listVMs shows the daemons' VMs in the platform's list.
+func (t *Tier) listVMs(ctx context.Context) error {
+	var vms []platform.VM
+	for _, d := range t.Daemons {
+		vms = append(vms, platform.VM{Name: string(d.VM), State: "live"})
+	}
+	return t.command(ctx, t.platform, "vms", map[string]any{"vms": vms}, nil)
+}
+
+// Outage starts or ends an outage of the platform.
+func (t *Tier) Outage(ctx context.Context, on bool) error {
+	return t.command(ctx, t.platform, "outage", map[string]any{"on": on}, nil)
+}
+
+// SlowPlatform delays every call to the platform.
+func (t *Tier) SlowPlatform(ctx context.Context, delay time.Duration) error {
+	return t.command(ctx, t.platform, "delay", map[string]any{"ms": delay.Milliseconds()}, nil)
+}
+
+// ResetPlatformCounts starts a count of the calls to the platform.
+func (t *Tier) ResetPlatformCounts(ctx context.Context) error {
+	return t.command(ctx, t.platform, "reset_counts", map[string]any{}, nil)
+}
+
+// PlatformCounts returns what the platform counted.
+func (t *Tier) PlatformCounts(ctx context.Context) (platform.Counts, error) {
+	var c platform.Counts
+	err := t.get(ctx, t.platform, "/v1/control/counts", &c)
+	return c, err
+}
+
+// TurnCold makes a backend server cold.
+func (t *Tier) TurnCold(ctx context.Context, name model.ServerName) error {
+	return t.command(ctx, t.address[name], "cold", map[string]any{}, nil)
+}
+
+func (t *Tier) command(ctx context.Context, address, name string, body map[string]any, v any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/control/"+name, bytes.NewReader(raw))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	return t.do(req, v)
+}
+
+func (t *Tier) get(ctx context.Context, address, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	return t.do(req, v)
+}
+
+func (t *Tier) do(req *http.Request, v any) error {
+	resp, err := t.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: %s: status %d", ErrProcess, req.URL, resp.StatusCode)
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrProcess, req.URL, err)
+	}
+	return nil
+}
+
+// Close kills all processes, also stopped ones.
+func (t *Tier) Close() {
+	for _, d := range t.Daemons {
+		if d.process != nil {
+			d.process.kill()
+		}
+	}
+	for _, p := range t.parts {
+		p.kill()
+	}
+	t.log.Close()
+}
--- /dev/null
+++ b/test/process/server_test.go
@@ -0,0 +1,51 @@
+package process
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/standin/processes"
+)
+
+// Guards against a frozen backend server that takes coverage away although its
+// shard has another replica.
+func TestFrozenServer(t *testing.T) {
+	const frozen = model.ServerName("arhiv-3")
+	f := start(t, 3, processes.DefaultRate)
+	f.PauseServer(frozen)
+	begin := time.Now()
+	time.Sleep(recovery + 4*time.Second)
+	end := time.Now()
+	f.ResumeServer(frozen)
+	f.finish()
+	f.wantServed(processes.ServiceArchive, begin, end)
+}
+
+// Guards against a server that turned cold getting its full load: at most the
+// first request over its limit, by which its owner notices, may hit it.
+func TestColdServer(t *testing.T) {
+	const (
+		cold = model.ServerName("arhiv-3")
+		// rate lets several requests overlap at a server.
+		rate = 4 * processes.DefaultRate
+	)
+	f := start(t, 3, rate)
+	f.check(f.TurnCold(t.Context(), cold))
+	begin := time.Now()
+	time.Sleep(6 * time.Second)
+	end := time.Now()
+	logs := f.finish()
+	f.wantServed(processes.ServiceArchive, begin, end)
+	for _, l := range logs {
+		if l.Name == cold && l.Counts.FallOvers > 1 {
+			t.Errorf("%s fell over %d times", l.Name, l.Counts.FallOvers)
+		}
+		if l.Name == cold {
+			t.Logf("%s fell over %d times and ran %d requests after it turned cold", l.Name, l.Counts.FallOvers, l.RunsBetween(begin, end))
+		}
+		if l.Name != cold && l.Counts.FallOvers > 0 {
+			t.Errorf("%s fell over, but was not cold", l.Name)
+		}
+	}
+}
