--- a/pkg/backend/client_test.go
+++ b/pkg/backend/client_test.go
@@ -27,6 +27,7 @@
 		"shed":           {429, "", model.OutcomeShed},
 		"draining":       {503, "", model.OutcomeShed},
 		"server error":   {500, "", model.OutcomeFailed},
+		"deadline":       {504, `{"error":"deadline"}`, model.OutcomeTimeout},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/core/query/throttle_test.go
+++ b/pkg/core/query/throttle_test.go
@@ -52,3 +52,30 @@
 		t.Errorf("%d queries refused after the overload", n)
 	}
 }
+
+// Guards against all queries going to one replica because of an old report, and
+// against a replica with a long queue getting as much as the other.
+func TestReplicaSpread(t *testing.T) {
+	h := newHarness(t, 1)
+	count := func(n int) (a int) {
+		for i := range n {
+			h.query(fmt.Sprint("q", i), nil)
+			x := h.subs()[0]
+			r := x.result(model.OutcomeOK)
+			r.Result.ServiceTime = 20 * ms
+			if x.sub.Server == "s00a" {
+				a++
+				r.Result.QueueTime = 20 * ms
+			}
+			h.post(r)
+			h.advance(ms)
+		}
+		return a
+	}
+	report := h.v.reports["s00a"]
+	report.Load = 4 * report.Limit
+	h.v.reports["s00a"] = report
+	if a := count(400); a < 40 || a > 160 {
+		t.Errorf("%d of 400 queries went to the replica with twice the time, want about 80", a)
+	}
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -67,7 +67,7 @@
 	holdings  map[Shard]*holding
 	running   int
 	waiting   []chan struct{} // each is closed when it gets a slot
-	served    int // good answers since the server turned cold
+	served    int             // good answers since the server turned cold
 	cold      bool
 	draining  bool
 	fallen    time.Time // requests fail until then
