Keep a confirmation of the cold start when the daemon's own rewrite shows up

Cause: the rewrite that confirms the platform's copy changes the object's version; the watch then reported a newer version, which took the confirmation back. Change: a confirmation stays valid; what comes later is newer. Conclusion: TestOwnRewriteKeepsConfirmation fails before and passes after.

--- a/pkg/core/documents/documents_test.go
+++ b/pkg/core/documents/documents_test.go
@@ -132,6 +132,34 @@
 	}
 }
 
+// Guards against a cold start that never ends: the confirming rewrite shows up
+// in this daemon's own watch.
+func TestOwnRewriteKeepsConfirmation(t *testing.T) {
+	for name, watchFirst := range map[string]bool{"watch after the reply": false, "watch before the reply": true} {
+		t.Run(name, func(t *testing.T) {
+			d := started()
+			d.failed(event.DocumentControls, "", true)
+			d.arrived("", 3, 7)
+			reply := func() {
+				d.do(func(m event.Meta, out *effect.List) {
+					d.s.DocumentConfirmed(m, event.DocumentConfirmed{Kind: event.DocumentBundle, ObjectVersion: 8}, out)
+				})
+			}
+			if !watchFirst {
+				reply()
+			}
+			d.arrived("", 3, 8)
+			if watchFirst {
+				reply()
+			}
+			d.after(time.Second)
+			if v, again := d.confirmed(); again || !d.s.Ready() {
+				t.Fatalf("confirms version %d again: %v; ready %v", v, again, d.s.Ready())
+			}
+		})
+	}
+}
+
 // Guards against a daemon that serves an old version although a peer named a
 // newer one.
 func TestReadyWaitsForHighestOffer(t *testing.T) {
--- a/pkg/core/documents/start.go
+++ b/pkg/core/documents/start.go
@@ -72,8 +72,9 @@
 	st.readPending = false
 	st.absent = false
 	if e.ObjectVersion > st.objectVersion {
+		// A confirmation stays valid: what changed after it, this daemon's own
+		// rewrite included, is newer.
 		st.object, st.objectVersion = e.Document, e.ObjectVersion
-		st.confirmed = false
 	}
 }
 
@@ -169,7 +170,7 @@
 	wasFor := st.confirming
 	st.confirming = 0
 	switch {
-	case e.Err == "" && !e.Conflict && wasFor == st.objectVersion:
+	case e.Err == "" && !e.Conflict:
 		st.confirmed = true
 		out.Log(logevent.DocumentConfirmed, logevent.Str("kind", e.Kind.String()), logevent.Int("version", st.object.Version))
 	case wasFor == st.objectVersion:
