--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,8 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&policiesCommand{}, "")
+	subcommands.Register(&capacityCommand{}, "")
+	subcommands.Register(&serveCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
