query: start no attempt after the sub-requests' deadline

Cause: an attempt at a frozen server ends at the sub-requests' deadline, which is replyReserve before the answer. The shard was then retried with no time left; the owner was not reached in time, and its failure replaced the reason deadline by no_owner, although every server had an owner.

Change: no retry and no hedge starts at or after that deadline, so the shard is missing for the reason of its last real attempt.

The new test fails without the change.

--- a/pkg/core/query/hedge.go
+++ b/pkg/core/query/hedge.go
@@ -28,7 +28,7 @@
 	sh := &r.shards[i]
 	sh.hedgeAt = model.Never
 	p, why := s.choose(c, r, i)
-	if why != "" || p.tries > 0 {
+	if why != "" || p.tries > 0 || c.Now >= r.subDeadline {
 		return
 	}
 	if !r.service.hedges.take() {
--- a/pkg/core/query/result_test.go
+++ b/pkg/core/query/result_test.go
@@ -221,3 +221,24 @@
 	h.refusal(tok, model.MayHaveRun)
 	h.freed()
 }
+
+// Guards against a retry after the sub-requests' deadline, whose failure would
+// turn the reason of the missing shard into no_owner.
+func TestNoRetryAfterDeadline(t *testing.T) {
+	h := newHarness(t, 2)
+	tok := h.query("late", nil)
+	subs := h.subs()
+	h.post(subs[0].result(model.OutcomeOK))
+	h.advance(500*ms - replyReserve/2)
+	h.post(subs[1].result(model.OutcomeTimeout))
+	for _, x := range h.subs() {
+		if x.sub.Attempt > subs[1].sub.Attempt && h.meta.Now.Sub(x.sub.Deadline) >= 0 {
+			t.Errorf("attempt %d was sent after its deadline", x.sub.Attempt)
+		}
+	}
+	a := h.answer(tok)
+	if len(a.Missing) != 1 || a.Missing[0].Reason != model.MissingDeadline {
+		t.Errorf("answer %+v", a)
+	}
+	h.freed()
+}
--- a/pkg/core/query/retry.go
+++ b/pkg/core/query/retry.go
@@ -95,6 +95,11 @@
 		s.picks = append(s.picks, p)
 		return
 	}
+	if c.Now >= r.subDeadline {
+		// No owner would take it, and its failure would hide the reason.
+		r.miss(p.shard, sh.reason)
+		return
+	}
 	if !isFree(sh.last) && !r.service.retries.take() {
 		s.wait(c, r, p.shard)
 		return
