--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -22,7 +22,7 @@
 	// tiersAtOnce bounds the load on the machine.
 	tiersAtOnce = "3"
 	// logTail is what a failed test shows of each daemon's log, in bytes.
-	logTail = 4000
+	logTail = 400000
 )
 
 // bin has the programs.
@@ -74,6 +74,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(tier.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(tier.LogTail(logTail))
+		}
+	})
 	f := &fixture{T: t, Tier: tier, load: tier.StartLoad(rate)}
 	t.Cleanup(f.load.Stop)
 	time.Sleep(warmUp)
@@ -89,9 +94,6 @@
 	for _, v := range processes.Violations(logs, f.load.Requests()) {
 		f.Error(v)
 	}
-	if f.Failed() {
-		f.Log(f.LogTail(logTail))
-	}
 	return logs
 }
 
