--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,7 @@
 	subcommands.Register(&policiesCommand{}, "")
 	subcommands.Register(&capacityCommand{}, "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&controlCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
