slots: keep the reported versions when a server changes its owner

Cause: a new owner's first report named no index versions until the server's status had been read. On a busy machine that took up to 230 ms, and when both replicas of a shard changed owners within that time, answers lacked the shard as no_replica. TestRollingReplacement of test/process saw it in 2 of 4 runs (1 of 567 and 4 of 574 queries) with a load average near 50.

Change: the new owner takes the versions of the newest known report until it has read the status. View gets Report, which core's view had already.

--- a/pkg/core/slots/refresh.go
+++ b/pkg/core/slots/refresh.go
@@ -183,6 +183,7 @@
 		v.ramp.restart(v.def)
 	}
 	v.failures = 0
+	s.inheritServes(v)
 	out.Log(logevent.SlotsGained, logevent.Str("server", v.name), logevent.Int("limit", v.ramp.limit))
 	out.Add(effect.WarmConnections{Server: v.name, Address: v.def.Address, Count: v.def.Slots})
 	v.poll = poll{next: m.Now.Add(PollInterval/2 + jitter(m, v.name))}
@@ -191,6 +192,19 @@
 	s.updateReport(v)
 }
 
+// inheritServes takes what the former owner reported until the status has been
+// read. A report without versions would take the server out of use for that
+// time, and a shard with it whose replicas change owners one soon after the
+// other.
+func (s *State) inheritServes(v *server) {
+	if len(v.serves) > 0 {
+		return
+	}
+	if r, ok := s.view.Report(v.name); ok {
+		v.serves = r.Serves
+	}
+}
+
 // lose ends the ownership: waiting work is refused, running work goes on.
 func (s *State) lose(m event.Meta, v *server, out *effect.List) {
 	v.owned = false
--- a/pkg/core/slots/slots.go
+++ b/pkg/core/slots/slots.go
@@ -42,6 +42,8 @@
 	LeaseUntil(now model.Time) model.Time
 	// Daemons is the number of daemons that take work from callers.
 	Daemons() int
+	// Report is the newest report on the server, by any owner.
+	Report(model.ServerName) (model.ServerReport, bool)
 }
 
 // Config sets up a State.
--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -408,3 +408,18 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(attempt+answered), "ns/event")
 }
+
+// Guards against a shard whose replicas are unknown for as long as their new
+// owners have not read their status.
+func TestGainKeepsReportedVersions(t *testing.T) {
+	w := newWorld(t, testBundle(model.RoutingOwned, 10, warmServer))
+	w.facts.owned["b1"] = false
+	w.step(w.state.Refresh)
+	serves := []model.Serving{{Layout: "l", Shard: "s", Versions: []uint64{3}}}
+	w.facts.reports = map[model.ServerName]model.ServerReport{"b1": {Server: "b1", Serves: serves}}
+	w.facts.owned["b1"] = true
+	w.step(w.state.Refresh)
+	if r := w.state.Reports()[0]; !r.Usable || !sameServes(r.Serves, serves) {
+		t.Errorf("report before the first status: %+v", r)
+	}
+}
--- a/pkg/core/slots/world_test.go
+++ b/pkg/core/slots/world_test.go
@@ -30,12 +30,17 @@
 	owned    map[model.ServerName]bool
 	lease    time.Duration
 	daemons  int
+	reports  map[model.ServerName]model.ServerReport
 }
 
 func (f *facts) Self() model.MemberRef     { return model.MemberRef{VM: "owner", Incarnation: 1} }
 func (f *facts) Bundle() *model.Bundle     { return f.bundle }
 func (f *facts) Controls() *model.Controls { return &f.controls }
 func (f *facts) Daemons() int              { return f.daemons }
+func (f *facts) Report(s model.ServerName) (model.ServerReport, bool) {
+	r, ok := f.reports[s]
+	return r, ok
+}
 func (f *facts) MayAct(_ model.Time, s model.ServerName) bool {
 	return f.owned[s] && f.lease > 0
 }
