slots: notice a frozen server from calls that were cut off

Cause: a frozen server stayed usable until three reads of its status had timed out, about 6 s.

Change: when calls are cut off and the server has given no sign of life since they were sent, its status is read at once; after 500 ms of silence it is unusable and its ramp starts anew. Any answer ends the silence.

--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -17,6 +17,10 @@
 	goneHold = 10 * time.Second
 	// promptPollGap is the least time between two status reads.
 	promptPollGap = 200 * time.Millisecond
+	// silenceLimit is how long a server may give no sign of life while calls to
+	// it are cut off, before it is unusable. Reads of its status alone take
+	// three timeouts, 6 s, to show that it is frozen.
+	silenceLimit = 500 * time.Millisecond
 )
 
 // BackendAnswered ends a call: it frees the slot, learns from the answer and
@@ -82,9 +86,11 @@
 		s.versionGone(m, t, out)
 	case model.OutcomeCanceled:
 		s.learnLatency(v, took, true, out)
+		s.learnSilence(m, t, out)
 	case model.OutcomeTimeout:
 		v.adaptive.decrease()
 		s.learnLatency(v, took, true, out)
+		s.learnSilence(m, t, out)
 	case model.OutcomeExpired:
 		// The deadline passed before the call began; it says nothing of the server.
 	default:
@@ -104,6 +110,7 @@
 // is cold restarts the ramp when it is new.
 func (s *State) learnAnswer(m event.Meta, v *server, cold bool, out *effect.List) {
 	v.lastAnswer, v.known = m.Now, true
+	v.signOfLife(m.Now)
 	if cold && !v.cold {
 		s.restartRamp(v, "cold", out)
 	}
@@ -146,6 +153,30 @@
 	}
 }
 
+// learnSilence learns from a call that was cut off whether the server has given
+// no sign of life since the call was sent. Its status is then read at once, so
+// that a server that is merely slow shows itself.
+func (s *State) learnSilence(m event.Meta, t *task, out *effect.List) {
+	v := t.server
+	if !v.owned || v.lastSign >= t.sent {
+		return
+	}
+	if v.silentSince == 0 {
+		v.silentSince = m.Now
+	}
+	if m.Now >= v.poll.sentAt.Add(promptPollGap) {
+		s.sendPoll(m, v, out)
+	}
+	if m.Now >= v.silentSince.Add(silenceLimit) && v.failures < unusableFailures {
+		s.restartRamp(v, "silent", out)
+		v.failures = unusableFailures - 1
+		s.addFailure(v, out)
+	}
+}
+
+// signOfLife notes that the server answered something.
+func (v *server) signOfLife(now model.Time) { v.lastSign, v.silentSince = now, 0 }
+
 // learnFailure restarts the ramp: a server that fails calls has fallen over
 // under its load or was restarted, and comes back cold in both cases.
 func (s *State) learnFailure(m event.Meta, v *server, cold bool, out *effect.List) {
--- a/pkg/core/slots/server.go
+++ b/pkg/core/slots/server.go
@@ -48,6 +48,10 @@
 	// there was one.
 	lastAnswer model.Time
 	known      bool
+	// lastSign is the time of the last answer to a call or a status read, and
+	// silentSince when a call was cut off first after it, 0 if none was.
+	lastSign    model.Time
+	silentSince model.Time
 
 	gate     gate
 	failures int
--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -423,3 +423,35 @@
 		t.Errorf("report before the first status: %+v", r)
 	}
 }
+
+// Guards against a frozen server that stays in use until reads of its status
+// have failed three times, and against one called silent that answers its status.
+func TestSilentServerIsUnusable(t *testing.T) {
+	for _, frozen := range []bool{true, false} {
+		w := newWorld(t, testBundle(model.RoutingOwned, 10, warmServer))
+		w.status(event.BackendStatus{})
+		polls := w.polls
+		for range 20 {
+			w.advance(50 * time.Millisecond)
+			id := w.ask(1, model.SubRequest{})
+			w.advance(10 * time.Millisecond)
+			cancel := event.CancelArrived{From: entry, Attempts: []model.AttemptID{id}}
+			w.step(func(m event.Meta, out *effect.List) { w.state.CancelArrived(m, cancel, out) })
+			w.answer(0, model.OutcomeCanceled, false)
+			if !frozen && w.polls > polls {
+				polls = w.polls
+				w.status(event.BackendStatus{})
+			}
+		}
+		if w.polls == polls && frozen {
+			t.Error("the status of a silent server was not read")
+		}
+		if usable := w.state.Reports()[0].Usable; usable == frozen {
+			t.Errorf("frozen %t: usable %t after 1.2 s of canceled calls", frozen, usable)
+		}
+		w.status(event.BackendStatus{})
+		if !w.state.Reports()[0].Usable {
+			t.Error("unusable after a sign of life")
+		}
+	}
+}
--- a/pkg/core/slots/status.go
+++ b/pkg/core/slots/status.go
@@ -33,6 +33,7 @@
 		s.addFailure(v, out)
 		return
 	}
+	v.signOfLife(m.Now)
 	s.clearFailures(v, out)
 	s.statusDraining(m, v, e.Draining, out)
 	s.statusCold(m, v, e.Cold, out)
