--- a/standin/processes/operate.go
+++ b/standin/processes/operate.go
@@ -103,9 +103,9 @@
 // Platform returns the address of the platform.
 func (t *Tier) Platform() string { return t.platform }
 
-// LogTail returns the last bytes of every daemon's log, to explain a failure.
+// LogTail returns the last bytes of every log, to explain a failure.
 func (t *Tier) LogTail(bytes int) string {
-	files, err := filepath.Glob(filepath.Join(t.options.Dir, "entry-*.log"))
+	files, err := filepath.Glob(filepath.Join(t.options.Dir, "*.log"))
 	if err != nil {
 		return err.Error()
 	}
