--- a/pkg/core/fakes_test.go
+++ b/pkg/core/fakes_test.go
@@ -21,8 +21,11 @@
 	coldLeft int
 	// coldTold is when an answer first told a daemon that the caches are cold.
 	coldTold time.Duration
-	frozen   bool
-	running  map[runKey]*run
+	// draining: the server refuses new work, drainedAt says since when.
+	draining  bool
+	drainedAt time.Duration
+	frozen    bool
+	running   map[runKey]*run
 }
 
 type runKey struct {
@@ -76,6 +79,11 @@
 			b.finish(key, r, model.OutcomeTimeout)
 			return
 		}
+		if b.draining {
+			w.oracle.refusedByDraining(b, n)
+			b.finish(key, r, model.OutcomeShed)
+			return
+		}
 		b.running[key] = r
 		w.oracle.ran(b, n, c, sent)
 		took := 4*time.Millisecond + time.Duration(w.rng.Int64N(int64(4*time.Millisecond)))
@@ -112,8 +120,14 @@
 		doc := fmt.Sprintf("%s|%s|%s|%d", sub.RequestID, sub.Shard, sub.Snapshot.Layout, sub.Snapshot.IndexVersion)
 		res.Items = []model.Item{{ID: string(sub.Shard), Score: 1, Doc: []byte(doc)}}
 		res.Count = 1
-		if b.w.rng.IntN(200) == 0 {
-			res.Items = nil // truncated
+		switch fault := b.w.rng.IntN(1000); {
+		case fault < b.w.truncatePerMille:
+			res.Items = nil
+		case fault < 2*b.w.truncatePerMille:
+			// An answer from another index version, labelled as such.
+			res.Snapshot.IndexVersion++
+			doc = fmt.Sprintf("%s|%s|%s|%d", sub.RequestID, sub.Shard, sub.Snapshot.Layout, res.Snapshot.IndexVersion)
+			res.Items[0].Doc = []byte(doc)
 		}
 	case model.OutcomeVersionGone:
 		res.Versions = slices.Clone(b.versions)
@@ -124,7 +138,8 @@
 		if cold && b.coldTold == 0 {
 			b.coldTold = b.w.now
 		}
-		r.node.post(event.BackendAnswered{From: r.call.From, Result: res, Cold: cold, Load: len(b.running)})
+		r.node.post(event.BackendAnswered{From: r.call.From, Result: res, Cold: cold,
+			Draining: o == model.OutcomeShed, Load: len(b.running)})
 	})
 }
 
@@ -159,9 +174,9 @@
 		}
 	}
 	// The status lags: it was true when the poll was sent.
-	cold, load := b.coldLeft > 0, len(b.running)
+	cold, load, draining := b.coldLeft > 0, len(b.running), b.draining
 	b.w.at(b.w.delay(), func() {
-		n.post(event.BackendStatus{Server: b.def.Name, Cold: cold, Load: load, Serves: serves})
+		n.post(event.BackendStatus{Server: b.def.Name, Draining: draining, Cold: cold, Load: load, Serves: serves})
 	})
 }
 
@@ -210,6 +225,17 @@
 	}
 }
 
+// repeatWatches answers all watches once more, as happens when they time out.
+func (p *fakePlatform) repeatWatches() {
+	for _, n := range p.w.nodes {
+		for _, kind := range []event.DocumentKind{event.DocumentBundle, event.DocumentControls, event.DocumentEpoch} {
+			if n.watches[kind] && !p.down {
+				p.read(n, kind)
+			}
+		}
+	}
+}
+
 func (p *fakePlatform) decode(_ event.DocumentKind, raw []byte) event.Document {
 	return p.raws[string(raw)]
 }
@@ -222,6 +248,8 @@
 			o = p.old[kind]
 		}
 		switch {
+		case n.rejects && kind == event.DocumentBundle:
+			n.post(event.DocumentFailed{Kind: kind, Err: "rejected"})
 		case p.down:
 			n.post(event.DocumentFailed{Kind: kind, Err: "unavailable"})
 			if n.watches[kind] {
--- a/pkg/core/invariant_test.go
+++ b/pkg/core/invariant_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"pgregory.net/rapid"
@@ -99,7 +98,7 @@
 	m.w.oracle.resent[req.ID] = req.Idempotent
 	sent := m.w.now
 	req.Deadline = n.clock().Add(300 * time.Millisecond)
-	tok := n.expect(func(r any) { m.w.oracle.repeated(n, req, r.(effect.ReplyQuery), sent) })
+	tok := n.expect(func(r any) { m.w.oracle.repeated(n, req, r, sent) })
 	n.post(event.QueryArrived{Token: tok, Request: req})
 }
 
@@ -157,6 +156,7 @@
 		p.down = !p.down
 	case 1:
 		p.stale = !p.stale
+		p.repeatWatches()
 	case 2:
 		p.loseReply = true
 	case 3:
@@ -239,6 +239,13 @@
 	m.w.notef("frozen %s %v", b.def.Name, b.frozen)
 }
 
+// Drain makes a server drain by itself, or come back.
+func (m *machine) Drain(t *rapid.T) {
+	b := m.backend(t)
+	b.draining, b.drainedAt = !b.draining, m.w.now
+	m.w.notef("draining %s %v", b.def.Name, b.draining)
+}
+
 func (m *machine) Stop(t *rapid.T) {
 	n := m.node(t)
 	if n != nil && !n.dead && !n.paused {
--- a/pkg/core/oracle_test.go
+++ b/pkg/core/oracle_test.go
@@ -37,6 +37,12 @@
 	refusals map[model.RefusalKind]int
 	reasons  map[string]int
 	missing  map[model.MissingReason]int
+	// drainRefusals counts what draining servers refused.
+	drainRefusals int
+	// layouts and versions say which snapshots were answered from.
+	layouts   map[model.LayoutName]int
+	versions  int
+	lastIndex uint64
 	// lastComplete is when the last complete answer came.
 	lastComplete time.Duration
 	maxGap       time.Duration
@@ -46,7 +52,7 @@
 	return &oracle{w: w, orders: map[string]int{}, runs: map[model.RequestID]int{}, resent: map[model.RequestID]bool{},
 		closedDomain: map[model.FailureDomain]time.Duration{}, closedServer: map[model.ServerName]time.Duration{},
 		accepted: map[uint64]time.Duration{}, highest: map[model.VM]uint64{},
-		refusals: map[model.RefusalKind]int{}, reasons: map[string]int{}, missing: map[model.MissingReason]int{}}
+		refusals: map[model.RefusalKind]int{}, reasons: map[string]int{}, missing: map[model.MissingReason]int{}, layouts: map[model.LayoutName]int{}}
 }
 
 func (o *oracle) failf(format string, args ...any) {
@@ -66,6 +72,12 @@
 	}
 	// A server turns cold without warning; its first answer after that is the
 	// first sign of it. What was sent before that sign is not counted.
+	for _, other := range b.running {
+		if other.node != n {
+			o.failf("single owner: %s works for %s while it works for %s", b.def.Name, n.vm, other.node.vm)
+			break
+		}
+	}
 	if b.coldLeft > 0 && b.coldTold > 0 && sentAt > b.coldTold && len(b.running) > b.def.Cold.Slots {
 		o.failf("cold start: %s runs %d but bears %d", b.def.Name, len(b.running), b.def.Cold.Slots)
 	}
@@ -167,6 +179,11 @@
 
 func (o *oracle) checkAnswer(n *node, req model.Request, a *model.Answer, sentAt time.Duration) {
 	o.answers++
+	o.layouts[a.Snapshot.Layout]++
+	if a.Snapshot.IndexVersion > o.lastIndex {
+		o.versions++
+		o.lastIndex = a.Snapshot.IndexVersion
+	}
 	if a.RequestID != req.ID {
 		o.failf("own answer: %s got the answer to %s", req.ID, a.RequestID)
 	}
@@ -227,7 +244,8 @@
 
 // repeated checks the reply to a request that was sent before. Such a request
 // may be refused in more ways, but what is said must be true all the same.
-func (o *oracle) repeated(n *node, req model.Request, r effect.ReplyQuery, sentAt time.Duration) {
+func (o *oracle) repeated(n *node, req model.Request, reply any, sentAt time.Duration) {
+	r := reply.(effect.ReplyQuery)
 	if r.Refusal != nil {
 		if r.Refusal.Kind == model.NotRun && !req.Idempotent && o.runs[req.ID] > 0 {
 			o.failf("not run: repeat of %s at %s was refused as not run (%s) but it ran", req.ID, n.vm, r.Refusal.Reason)
@@ -241,6 +259,14 @@
 	o.checkAnswer(n, req, r.Answer, sentAt)
 }
 
+// refusedByDraining is called by a server that refuses work because it drains.
+func (o *oracle) refusedByDraining(b *fakeBackend, n *node) {
+	o.drainRefusals++
+	if o.w.now > b.drainedAt+settleTime && o.w.now > n.resumedAt+settleTime {
+		o.failf("drain: %s got new work from %s %v after it began to drain", b.def.Name, n.vm, o.w.now-b.drainedAt)
+	}
+}
+
 // controlsChanged forgets the closures of the controls before.
 func (o *oracle) controlsChanged() {
 	o.closed = false
--- a/pkg/core/world_test.go
+++ b/pkg/core/world_test.go
@@ -27,10 +27,13 @@
 	cuts     map[[2]model.VM]bool
 	lossPct  int
 	slowPct  int
-	oracle   *oracle
-	bundle   *model.Bundle
-	controls *model.Controls
-	trace    []string
+	// truncatePerMille of the answers of backend servers lack their items, and
+	// as many are of another index version.
+	truncatePerMille int
+	oracle           *oracle
+	bundle           *model.Bundle
+	controls         *model.Controls
+	trace            []string
 }
 
 // node is one incarnation of a daemon.
@@ -44,6 +47,8 @@
 	paused bool
 	dead   bool
 	exited bool
+	// rejects: every bundle fails this daemon's checks, as with old keys.
+	rejects bool
 	// resumedAt is when the last pause ended.
 	resumedAt time.Duration
 	inbox     []event.Body
@@ -88,6 +93,8 @@
 		cuts:     map[[2]model.VM]bool{},
 		bundle:   b,
 		controls: &model.Controls{Version: 1},
+
+		truncatePerMille: 5,
 	}
 	w.oracle = newOracle(w)
 	w.platform = newFakePlatform(w)
