membership: accept a handover of the epoch before

A handover that was under way when its receiver learned of the next epoch was refused, and its sender, which had adopted that epoch too, had already given up the server.

The receiver now takes the server in the epoch that the message names, if it may still hold a lease there, and carries it over as it does with its other servers. This is as safe as when the message arrives before the epoch: nobody else acts for the server in the old epoch, and a daemon acts in the new one only through carry-over or once it is active.

--- a/pkg/core/membership/ownership.go
+++ b/pkg/core/membership/ownership.go
@@ -78,24 +78,28 @@
 
 // HandoverArrived takes over servers from the daemon that alone may act for
 // them and has stopped for good. Whatever the sender is in the order, everyone
-// before this daemon is then fenced or stopped, in exactly this epoch.
+// before this daemon is then fenced or stopped, in exactly this epoch. An epoch
+// that changes while the message is under way leaves the server to this daemon
+// in the epoch before, from which carry-over continues.
 func (s *State) HandoverArrived(m event.Meta, e event.HandoverArrived, out *effect.List) {
 	s.arrive(m)
-	accepted := s.cur != nil && e.Header.Epoch == s.Epoch() && s.cur.isMember() && !s.leave.resigned
+	i := slices.IndexFunc(s.views(), func(v *epochView) bool { return v.epoch.Number == e.Header.Epoch })
+	accepted := i >= 0 && s.views()[i].isMember() && !s.leave.resigned
 	if accepted {
-		s.takeOver(m, e, out)
+		s.takeOver(m, s.views()[i], e, out)
 	}
 	out.Add(effect.ReplyHandover{Token: e.Token, Header: s.Header(), Accepted: accepted})
 	s.step(m, out)
 }
 
-func (s *State) takeOver(m event.Meta, e event.HandoverArrived, out *effect.List) {
+func (s *State) takeOver(m event.Meta, v *epochView, e event.HandoverArrived, out *effect.List) {
 	for _, name := range e.Servers {
-		if s.cur.released[name] {
+		if v.released[name] {
 			continue
 		}
-		s.cur.entitled[name] = true
-		if s.leave.started && s.passes[name] == nil {
+		v.entitled[name] = true
+		// From the epoch before it is passed on only after carry-over.
+		if s.leave.started && v == s.cur && s.passes[name] == nil {
 			s.passes[name] = &pass{from: s.cur, created: m.Now}
 		}
 	}
