membership: give up handovers to a leaving daemon after 500 ms

When all daemons leave at once, the next owner of a server may have ended its process already. Ending a handover is always safe, since this daemon does not act for the server again, and the work at the server has ended before the first message is sent.

--- a/pkg/core/membership/leave.go
+++ b/pkg/core/membership/leave.go
@@ -18,6 +18,9 @@
 	// passLimit ends attempts to hand over a server; its next owner then gets
 	// it when this daemon is fenced.
 	passLimit = 5 * time.Second
+	// leavingPassLimit is the same, from the first attempt on, for a next owner
+	// that leaves as well and may have ended already.
+	leavingPassLimit = 500 * time.Millisecond
 	// passPoll is how often a server with work in flight is looked at again.
 	passPoll = 10 * time.Millisecond
 	// resignLimit is how long a leaving daemon waits for the panel to note its
@@ -31,6 +34,14 @@
 	from    *epochView
 	created model.Time
 	next    model.Time
+	// sent is when it was first sent, when no work was left; 0 before.
+	sent model.Time
+}
+
+// late reports whether to give up the handover. That is always safe: nobody
+// acts for the server until this daemon is fenced.
+func (p *pass) late(now model.Time, leaving bool) bool {
+	return now >= p.created.Add(passLimit) || leaving && p.sent != 0 && now >= p.sent.Add(leavingPassLimit)
 }
 
 // leave is the graceful leave of this daemon.
@@ -135,7 +146,7 @@
 	for _, name := range s.passNames() {
 		p := s.passes[name]
 		to, ok := s.passTarget(name, p)
-		if !ok || m.Now >= p.created.Add(passLimit) {
+		if !ok || p.late(m.Now, s.isLeaving(to.MemberRef)) {
 			s.endPass(name)
 			continue
 		}
@@ -147,6 +158,9 @@
 			continue
 		}
 		p.next = m.Now.Add(passTimeout)
+		if p.sent == 0 {
+			p.sent = m.Now
+		}
 		// From here on the receiver may act, whether its answer arrives or not.
 		p.from.released[name] = true
 		i := slices.IndexFunc(batches, func(b batch) bool { return b.to.MemberRef == to.MemberRef })
