--- a/pkg/daemon/admin.go
+++ b/pkg/daemon/admin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -16,13 +17,15 @@
 const liveTimeout = 2 * time.Second
 
 // adminHandler serves metrics, /healthz (the event loop runs), /readyz (the
-// daemon takes new work) and /statusz (a summary as JSON).
+// daemon takes new work) /statusz (a summary as JSON) and profiles.
 func (d *daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", d.healthz)
 	mux.HandleFunc("GET /readyz", d.readyz)
 	mux.HandleFunc("GET /statusz", d.statusz)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
