--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -125,6 +125,11 @@
 	// Also after a success: the read gives the encoded form for the peers.
 	out.Add(effect.ReadDocument{Kind: event.DocumentEpoch})
 	if e.Conflict || e.Err != "" {
+		if e.Conflict {
+			// The platform works, but the copy that it gave was old. Longer
+			// waits would only keep a lost region without an epoch.
+			w.backoff = 0
+		}
 		w.failed(m.Now)
 		out.Log(logevent.EpochWriteFailed, logevent.Int("epoch", e.Number), logevent.Str("error", e.Err))
 		s.step(m, out)
