membership: write the next epoch as soon as its object was read

Cause: a panel member that does not know the version of the epoch object reads it first, and counted that read as a failed write.

Change: a write that waited only for the read follows at once. The wait after a write that failed stays as it was.

--- a/pkg/core/membership/epoch.go
+++ b/pkg/core/membership/epoch.go
@@ -59,7 +59,7 @@
 	case e.Number > s.Epoch():
 		s.adopt(m, e, objectVersion, out)
 	case e.Number == s.Epoch() && objectVersion > 0:
-		s.writer.objectVersion = objectVersion
+		s.writer.read(m.Now, objectVersion)
 	}
 	s.step(m, out)
 }
--- a/pkg/core/membership/transfer_test.go
+++ b/pkg/core/membership/transfer_test.go
@@ -167,3 +167,21 @@
 		}
 	}
 }
+
+// Guards against a second long wait between the first read that works after an
+// outage and the write of the next epoch, which names the replacements of the
+// daemons that were lost meanwhile.
+func TestNextEpochSoonAfterOutage(t *testing.T) {
+	for outage := 5 * time.Second; outage <= 40*time.Second; outage += 5 * time.Second {
+		f := settledWorld(t, 1, 5)
+		before := f.w.nodes[0].mem.Epoch()
+		f.w.down = true
+		f.remove(f.w.nodes[1])
+		f.run(outage)
+		f.w.down = false
+		f.run(writeBackoffMax + time.Second)
+		if f.w.nodes[0].mem.Epoch() == before {
+			t.Errorf("no new epoch %v after an outage of %v", writeBackoffMax+time.Second, outage)
+		}
+	}
+}
--- a/pkg/core/membership/write.go
+++ b/pkg/core/membership/write.go
@@ -39,6 +39,8 @@
 	// objectVersion is that of the object holding the present epoch, 0 if not
 	// known.
 	objectVersion uint64
+	// reading: a write waits for a read of the object's version.
+	reading bool
 	// pending is the epoch that is being written, since asked.
 	pending *model.Epoch
 	asked   model.Time
@@ -60,11 +62,22 @@
 	w.backoff = 0
 }
 
+// read takes the version of the object that holds the present epoch. A write
+// that waited only for it follows at once; the wait after a failed write stays.
+func (w *writer) read(now model.Time, objectVersion uint64) {
+	w.objectVersion = objectVersion
+	if w.reading {
+		w.reading = false
+		w.next = min(w.next, now)
+	}
+}
+
 func (w *writer) failed(now model.Time) {
 	w.backoff = min(max(2*w.backoff, epochInterval), writeBackoffMax)
 	w.next = now.Add(w.backoff)
 	w.objectVersion = 0
 	w.missing = false
+	w.reading = false
 }
 
 func (s *State) wakeWriter() model.Time {
@@ -104,6 +117,7 @@
 	if w.objectVersion == 0 && next.Number > 1 {
 		out.Add(effect.ReadDocument{Kind: event.DocumentEpoch})
 		w.failed(m.Now)
+		w.reading = true
 		return
 	}
 	w.pending, w.asked = next, m.Now
