--- a/test/replay/replay_test.go
+++ b/test/replay/replay_test.go
@@ -291,14 +291,12 @@
 			if d, ok := s.event.Body.(event.DocumentArrived); ok && d.Document.Controls.DomainOut(outDomain, s.event.Wall) {
 				out = min(out, s.event.Now)
 			}
-			for _, e := range s.effects {
-				c, ok := e.(effect.CallBackend)
+			for _, sub := range sentWork(s.effects) {
 				switch {
-				case !ok:
 				case out == model.Never || s.event.Now <= out.Add(target):
-					early += count(domain[c.Sub.Server])
-				case domain[c.Sub.Server]:
-					t.Errorf("%s: %s was sent to %s %v after the controls arrived", file, c.Sub.RequestID, c.Sub.Server, s.event.Now.Sub(out))
+					early += count(domain[sub.Server])
+				case domain[sub.Server]:
+					t.Errorf("%s: %s was sent to %s %v after the controls arrived", file, sub.RequestID, sub.Server, s.event.Now.Sub(out))
 				default:
 					others++
 				}
@@ -313,6 +311,22 @@
 	}
 }
 
+// sentWork returns the sub-requests that the effects send to owners and to
+// backend servers. Owners get from a trace only what entry daemons sent when it
+// was recorded, so both have to be looked at.
+func sentWork(effects []effect.Effect) []model.SubRequest {
+	var subs []model.SubRequest
+	for _, e := range effects {
+		switch e := e.(type) {
+		case effect.OpenExecute:
+			subs = append(subs, e.Subs...)
+		case effect.CallBackend:
+			subs = append(subs, e.Sub)
+		}
+	}
+	return subs
+}
+
 func count(b bool) int {
 	if b {
 		return 1
