--- a/measure/control/control.go
+++ b/measure/control/control.go
@@ -73,6 +73,8 @@
 	// LastWork is how long after the take-out a server of the domain got its
 	// last request.
 	LastWork time.Duration
+	// Lost is the number of servers that the daemon killed in the outage owned.
+	Lost int
 	// Recovered is how long after the kill in the outage the last request was
 	// sent that got no complete answer; 0 if all got one.
 	Recovered time.Duration
@@ -256,10 +258,28 @@
 	return nil
 }
 
-// outage kills a daemon at a third of the outage and starts its replacement
+// victim returns the daemon that owns the most servers and their number.
+func (m *measurement) victim(ctx context.Context) (daemon, owned int, err error) {
+	for i := range m.Daemons {
+		s, err := m.Status(ctx, i)
+		if err != nil {
+			return 0, 0, err
+		}
+		if s.OwnedServers > owned {
+			daemon, owned = i, s.OwnedServers
+		}
+	}
+	return daemon, owned, nil
+}
+
+// outage kills an owner at a third of the outage and starts its replacement
 // soon afterwards.
 func (m *measurement) outage(ctx context.Context) error {
-	const victim = 1
+	victim, owned, err := m.victim(ctx)
+	if err != nil {
+		return err
+	}
+	m.result.Lost = owned
 	if err := m.count(ctx, "idle, with requests", m.Phase); err != nil {
 		return err
 	}
--- a/measure/control/page.go
+++ b/measure/control/page.go
@@ -63,7 +63,7 @@
 func (r *Result) writeTimes(b *strings.Builder) {
 	b.WriteString("## Times\n\n| time | measured | target |\n| --- | --- | --- |\n")
 	fmt.Fprintf(b, "| last new work in the failure domain after the take-out | %s | 3 s |\n", millis(r.LastWork))
-	fmt.Fprintf(b, "| last request without a complete answer after the kill in the outage | %s | 3 s |\n", millis(r.Recovered))
+	fmt.Fprintf(b, "| last request without a complete answer after the kill, in the outage, of the owner of %d servers | %s | 3 s |\n", r.Lost, millis(r.Recovered))
 	fmt.Fprintf(b, "| replacement owns servers after the outage | %s | none stated |\n\n", millis(r.OwnsAgain))
 }
 
