--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -115,9 +115,10 @@
 	if len(args) > 1 {
 		f.refusal = model.RefusalKind(args[1])
 	}
-	server := httptest.NewServer(api.NewHandler(f))
+	server := httptest.NewUnstartedServer(api.NewHandler(f))
+	f.address = server.Listener.Addr().String()
+	server.Start()
 	ts.Defer(server.Close)
-	f.address = strings.TrimPrefix(server.URL, "http://")
 	ts.Setenv(args[0], f.address)
 }
 
