slots: keep slots of cut-off calls of a silent server until a sign of life

Cause: a slot was given back 20 ms after a call was cut off, by time alone. Change: while a server that is owned has given no sign of life since the first cut-off, its slots wait; its status is read at once and every 20 ms. The silence is now also counted where no further call can be cut off. Tests: the settling test needs the sign now; the random test lets servers answer their status at its end, since a silent server may hold its queue.

--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -17,6 +17,9 @@
 	goneHold = 10 * time.Second
 	// promptPollGap is the least time between two status reads.
 	promptPollGap = 200 * time.Millisecond
+	// signPollGap is the same for reads that look for a sign of life, for which
+	// slots wait.
+	signPollGap = 20 * time.Millisecond
 	// silenceLimit is how long a server may give no sign of life while calls to
 	// it are cut off, before it is unusable. Reads of its status alone take
 	// three timeouts, 6 s, to show that it is frozen.
@@ -54,15 +57,25 @@
 	}
 }
 
-// settleSlots frees the slots of cut-off calls whose time has come.
+// settleSlots frees the slots of cut-off calls whose time has come. Those of a
+// server that has given no sign of life since wait for one: a frozen server has
+// not noticed that the calls were cut off, and runs them when it goes on.
 func (s *State) settleSlots(m event.Meta, out *effect.List) {
-	n := 0
-	for ; n < len(s.settling) && s.settling[n].at <= m.Now; n++ {
-		v := s.settling[n].server
+	due := 0
+	for due < len(s.settling) && s.settling[due].at <= m.Now {
+		due++
+	}
+	for _, slot := range s.settling[:due] {
+		v := slot.server
+		if v.owned && v.silentSince != 0 {
+			s.awaitSign(m, v, out)
+			s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v})
+			continue
+		}
 		v.settling--
 		s.pump(m, v, out)
 	}
-	s.settling = slices.Delete(s.settling, 0, n)
+	s.settling = slices.Delete(s.settling, 0, due)
 }
 
 // learn updates what is known of the server from the answer to a call.
@@ -164,7 +177,13 @@
 	if v.silentSince == 0 {
 		v.silentSince = m.Now
 	}
-	if m.Now >= v.poll.sentAt.Add(promptPollGap) {
+	s.awaitSign(m, v, out)
+}
+
+// awaitSign reads the status of a silent server, not too often, and takes the
+// server to be unusable after the limit.
+func (s *State) awaitSign(m event.Meta, v *server, out *effect.List) {
+	if m.Now >= v.poll.sentAt.Add(signPollGap) {
 		s.sendPoll(m, v, out)
 	}
 	if m.Now >= v.silentSince.Add(silenceLimit) && v.failures < unusableFailures {
--- a/pkg/core/slots/invariant_test.go
+++ b/pkg/core/slots/invariant_test.go
@@ -120,6 +120,14 @@
 	for len(w.calls) > 0 {
 		w.answer(0, model.OutcomeOK, false)
 	}
+	// Slots of servers without a sign of life wait for one.
+	for _, server := range w.facts.bundle.Servers {
+		w.status(event.BackendStatus{Server: server.Name})
+	}
+	w.advance(defaultSettle)
+	for len(w.calls) > 0 {
+		w.answer(0, model.OutcomeOK, false)
+	}
 	for stream, closed := range w.last {
 		if !closed {
 			rt.Fatalf("stream %v has results but no last one", stream)
--- a/pkg/core/slots/slots_test.go
+++ b/pkg/core/slots/slots_test.go
@@ -67,7 +67,7 @@
 }
 
 // Guards against a slot lost to a canceled call, and against one given away
-// before the server has noticed the cancel.
+// before the server has noticed the cancel, which a frozen server does not.
 func TestCancelFreesTheSlotAfterSettling(t *testing.T) {
 	w := newWorld(t, testBundle(model.RoutingOwned, 10, model.BackendServer{Slots: 1}))
 	first := w.ask(1, model.SubRequest{})
@@ -85,6 +85,11 @@
 	if len(w.calls) != 0 || w.state.InFlight("b1") != 1 {
 		t.Fatal("the slot was free before the server could notice the cancel")
 	}
+	w.advance(10 * defaultSettle)
+	if len(w.calls) != 0 || w.polls == 0 {
+		t.Fatalf("%d calls at a server without a sign of life, %d status reads", len(w.calls), w.polls)
+	}
+	w.status(event.BackendStatus{})
 	w.advance(defaultSettle)
 	if len(w.calls) != 1 || w.calls[0].sub.Attempt != next {
 		t.Fatal("the slot of the canceled call is lost")
@@ -437,7 +442,9 @@
 			w.advance(10 * time.Millisecond)
 			cancel := event.CancelArrived{From: entry, Attempts: []model.AttemptID{id}}
 			w.step(func(m event.Meta, out *effect.List) { w.state.CancelArrived(m, cancel, out) })
-			w.answer(0, model.OutcomeCanceled, false)
+			if len(w.calls) > 0 {
+				w.answer(0, model.OutcomeCanceled, false)
+			}
 			if !frozen && w.polls > polls {
 				polls = w.polls
 				w.status(event.BackendStatus{})
