--- a/measure/control/control.go
+++ b/measure/control/control.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 	"github.com/pistachiousher/pistachiousher/standin/processes"
 )
 
@@ -110,7 +111,7 @@
 		return nil, fmt.Errorf("control: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	if err := processes.Build(ctx, dir); err != nil {
+	if err := child.Build(ctx, dir); err != nil {
 		return nil, err
 	}
 	tier, err := processes.Start(ctx, processes.Options{Bin: dir, Dir: dir, Daemons: Daemons})
--- a/measure/load/bear.go
+++ b/measure/load/bear.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // bearTime is how long the servers' capacity is measured.
@@ -36,7 +38,7 @@
 	}
 	wg.Wait()
 	if n := failed.Load(); n > 0 {
-		return nil, fmt.Errorf("%w: %d requests failed while the capacity was measured", ErrProcess, n)
+		return nil, fmt.Errorf("%w: %d requests failed while the capacity was measured", child.ErrProcess, n)
 	}
 	rates := make(map[string]float64)
 	for i := range t.setup.Services {
--- a/measure/load/policies.go
+++ b/measure/load/policies.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/loadgen"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 const (
@@ -89,10 +90,10 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	dir, err := os.MkdirTemp("", "measure-load-")
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+		return nil, fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	defer os.RemoveAll(dir)
-	if err := build(ctx, dir); err != nil {
+	if err := child.Build(ctx, dir); err != nil {
 		return nil, err
 	}
 	r := &Result{Setup: o.Setup.Name}
@@ -139,7 +140,7 @@
 func measureBears(ctx context.Context, o Options, bin string) (map[string]float64, error) {
 	dir := filepath.Join(bin, "bears")
 	if err := os.Mkdir(dir, 0o700); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+		return nil, fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	t, err := startBackends(o.Setup, bin, dir, o.Seed)
 	if err != nil {
@@ -157,7 +158,7 @@
 	}
 	dir := filepath.Join(parent, fmt.Sprintf("%s-%d", v.Name, round))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+		return nil, fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	seed := o.Seed + uint64(round)*1000
 	t, err := startBackends(o.Setup, bin, dir, seed)
--- a/measure/load/setup.go
+++ b/measure/load/setup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // ErrSetup is returned for an unknown setup.
@@ -161,7 +162,7 @@
 		v := &s.Services[i]
 		for _, l := range s.leafs(v) {
 			all = append(all, backend.Config{
-				Name: l.name, Service: v.Name, Listen: loopback,
+				Name: l.name, Service: v.Name, Listen: child.Loopback,
 				Slots: v.Slots, Queue: backendQueue, Connections: v.Connections, ConnectCost: v.ConnectCost,
 				ServiceTime: serviceTime, Jitter: jitter,
 				Straggler: backend.Straggler{Probability: stragglerProbability, Delay: stragglerDelay},
--- a/measure/load/tier.go
+++ b/measure/load/tier.go
@@ -7,8 +7,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,15 +17,13 @@
 	"github.com/pistachiousher/pistachiousher/pkg/bundle"
 	"github.com/pistachiousher/pistachiousher/pkg/operator"
 	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 const (
 	// readyTimeout bounds the start of a tier.
 	readyTimeout = 30 * time.Second
 	pollInterval = 50 * time.Millisecond
-	// firstPort and ports are the range of the daemons' ports.
-	firstPort = 12000
-	ports     = 18000
 	// signer signs the bundle alone; the quorum is one.
 	signer = "ana"
 )
@@ -46,15 +42,15 @@
 	admins   []string
 	public   ed25519.PublicKey
 	private  ed25519.PrivateKey
-	daemons  []*process
-	others   []*process
+	daemons  []*child.Process
+	others   []*child.Process
 }
 
 // startBackends starts the platform and the backend servers.
 func startBackends(s *Setup, bin, dir string, seed uint64) (*tier, error) {
 	log, err := os.Create(filepath.Join(dir, "processes.log"))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+		return nil, fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	t := &tier{setup: s, bin: bin, dir: dir, log: log, backends: make(map[string]string)}
 	if err := t.startStandins(seed); err != nil {
@@ -66,7 +62,7 @@
 
 func (t *tier) startStandins(seed uint64) error {
 	program := filepath.Join(t.bin, "standin")
-	p, addresses, err := start(t.log, 1, program, "platform", "-listen", loopback)
+	p, addresses, err := child.Start(t.log, 1, program, "platform", "-listen", child.Loopback)
 	if err != nil {
 		return err
 	}
@@ -75,13 +71,13 @@
 	configs := t.setup.backends(seed)
 	raw, err := yaml.Marshal(map[string][]backend.Config{"backends": configs})
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	file := filepath.Join(t.dir, "backends.yaml")
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
-	p, addresses, err = start(t.log, len(configs), program, "backend", "-config", file)
+	p, addresses, err = child.Start(t.log, len(configs), program, "backend", "-config", file)
 	if err != nil {
 		return err
 	}
@@ -164,7 +160,7 @@
 func vmName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
 func (t *tier) startDaemon(i int) error {
-	listen, err := freeAddresses(3)
+	listen, err := child.FreeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -179,9 +175,9 @@
 		signer, base64.StdEncoding.EncodeToString(t.public), filepath.Join(t.dir, vmName(i)+".log"))
 	file := filepath.Join(t.dir, vmName(i)+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
-	p, _, err := start(t.log, 0, filepath.Join(t.bin, "pistachiousherd"), "-settings", file)
+	p, _, err := child.Start(t.log, 0, filepath.Join(t.bin, "pistachiousherd"), "-settings", file)
 	if err != nil {
 		return err
 	}
@@ -191,25 +187,6 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that nothing listens on. Daemons
-// need theirs beforehand, so the ports are below those that the system gives to
-// outgoing connections, which could take them in between.
-func freeAddresses(n int) ([]string, error) {
-	var list []string
-	for range 100 * n {
-		port := firstPort + rand.IntN(ports)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		defer l.Close()
-		if list = append(list, l.Addr().String()); len(list) == n {
-			return list, nil
-		}
-	}
-	return nil, fmt.Errorf("%w: no free ports", ErrProcess)
-}
-
 // waitReady waits until every daemon serves and every server has an owner.
 func (t *tier) waitReady(ctx context.Context) error {
 	for {
@@ -220,7 +197,7 @@
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
-			return fmt.Errorf("%w: not ready: %w", ErrProcess, err)
+			return fmt.Errorf("%w: not ready: %w", child.ErrProcess, err)
 		}
 	}
 }
@@ -287,7 +264,7 @@
 func (t *tier) cpu() (time.Duration, error) {
 	var sum time.Duration
 	for _, p := range t.daemons {
-		d, err := p.cpu()
+		d, err := p.CPU()
 		if err != nil {
 			return 0, err
 		}
@@ -300,10 +277,10 @@
 // takes seconds and nothing is measured any more.
 func (t *tier) stop() {
 	for _, p := range t.daemons {
-		p.kill()
+		p.Kill()
 	}
 	for _, p := range t.others {
-		p.stop()
+		p.Stop()
 	}
 	t.log.Close()
 }
--- a/standin/processes/process.go
+++ b/standin/child/child.go
@@ -1,4 +1,6 @@
-package processes
+// Package child runs the programs of this repository as child processes, for
+// tests and measurements. The product itself starts no process.
+package child
 
 import (
 	"bufio"
@@ -8,20 +10,26 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
 )
 
+// Loopback is the address of a free port on the loopback interface.
+const Loopback = "127.0.0.1:0"
+
 // ErrProcess is returned when a process failed.
-var ErrProcess = errors.New("processes: process failed")
+var ErrProcess = errors.New("child: process failed")
 
 const (
-	loopback = "127.0.0.1:0"
 	// stopTimeout is the time that a process has to end before it is killed.
 	stopTimeout = 10 * time.Second
+	// clockTick is the unit of the processor times in /proc, USER_HZ of Linux.
+	clockTick = 10 * time.Millisecond
 	// firstPort and ports are a range below the one from which Linux takes the
 	// ports of outgoing connections, which could take them between the choice
 	// and the start of the process.
@@ -29,7 +37,7 @@
 	ports     = 14_000
 )
 
-// Build compiles the programs into dir.
+// Build compiles all programs into dir.
 func Build(ctx context.Context, dir string) error {
 	const commands = "github.com/pistachiousher/pistachiousher/cmd/"
 	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", dir+string(filepath.Separator),
@@ -40,16 +48,17 @@
 	return nil
 }
 
-// process is a started process.
-type process struct {
+// Process is a started process.
+type Process struct {
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error // valid once done is closed
 }
 
-// start runs a program whose standard error goes to log. It reads the first
-// lines of its standard output, each of which ends with an address.
-func start(log io.Writer, lines int, name string, args ...string) (*process, []string, error) {
+// Start runs a program whose standard error goes to log. It reads the first
+// lines of its standard output and returns the last word of each, which is an
+// address.
+func Start(log io.Writer, lines int, name string, args ...string) (*Process, []string, error) {
 	cmd := exec.Command(name, args...)
 	cmd.Stderr = log
 	stdout, err := cmd.StdoutPipe()
@@ -59,7 +68,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", ErrProcess, err)
 	}
-	p := &process{cmd: cmd, done: make(chan struct{})}
+	p := &Process{cmd: cmd, done: make(chan struct{})}
 	in := bufio.NewScanner(stdout)
 	var addresses []string
 	for len(addresses) < lines && in.Scan() {
@@ -68,43 +77,66 @@
 	}
 	go p.wait(stdout)
 	if len(addresses) < lines {
-		p.kill()
+		p.Kill()
 		return nil, nil, fmt.Errorf("%w: %s ended early: %v", ErrProcess, filepath.Base(name), p.err)
 	}
 	return p, addresses, nil
 }
 
-func (p *process) wait(stdout io.Reader) {
+func (p *Process) wait(stdout io.Reader) {
 	defer close(p.done)
 	// Drains the pipe so that the process cannot block on it.
 	_, _ = io.Copy(io.Discard, stdout)
 	p.err = p.cmd.Wait()
 }
 
-// signal sends a signal to the process. One that has ended needs none.
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+// Signal sends a signal to the process. One that has ended needs none.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// stop ends the process gracefully and reports an error if it had to be killed
+// Stop ends the process gracefully and reports an error if it had to be killed
 // or failed.
-func (p *process) stop() error {
-	p.signal(syscall.SIGTERM)
+func (p *Process) Stop() error {
+	p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
 		return p.err
 	case <-time.After(stopTimeout):
-		p.kill()
+		p.Kill()
 		return fmt.Errorf("%w: no end within %v of SIGTERM", ErrProcess, stopTimeout)
 	}
 }
 
-// kill ends the process at once.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
 	<-p.done
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
-func freeAddresses(n int) ([]string, error) {
+// CPU returns the processor time that the process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrProcess, err)
+	}
+	// The command name in parentheses may hold spaces; utime and stime are the
+	// 12th and 13th fields after it.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("%w: unexpected /proc stat", ErrProcess)
+	}
+	var ticks int64
+	for _, f := range fields[11:13] {
+		n, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrProcess, err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// FreeAddresses returns loopback addresses that nothing listens on.
+func FreeAddresses(n int) ([]string, error) {
 	var list []string
 	for range 100 * n {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
--- a/standin/processes/operate.go
+++ b/standin/processes/operate.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/controls"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/pkg/operator"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // Propose proposes and signs a bundle.
@@ -95,7 +96,7 @@
 		return exit.ExitCode(), string(out), nil
 	}
 	if err != nil {
-		return 0, "", fmt.Errorf("%w: %w", ErrProcess, err)
+		return 0, "", fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	return 0, string(out), nil
 }
--- a/standin/processes/tier.go
+++ b/standin/processes/tier.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/pkg/operator"
 	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 	"github.com/pistachiousher/pistachiousher/standin/platform"
 )
 
@@ -57,7 +58,7 @@
 	VM                  model.VM
 	Domain              model.FailureDomain
 	Caller, peer, Admin string
-	process             *process
+	process             *child.Process
 	runs                int
 }
 
@@ -70,8 +71,8 @@
 	operator *operator.Client
 	public   ed25519.PublicKey
 	private  ed25519.PrivateKey
-	parts    []*process
-	servers  map[model.ServerName]*process
+	parts    []*child.Process
+	servers  map[model.ServerName]*child.Process
 	address  map[model.ServerName]string
 	Daemons  []*Daemon
 }
@@ -80,11 +81,11 @@
 func Start(ctx context.Context, o Options) (*Tier, error) {
 	log, err := os.Create(filepath.Join(o.Dir, "processes.log"))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrProcess, err)
+		return nil, fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	t := &Tier{
 		options: o, log: log, http: &http.Client{Timeout: controlTimeout},
-		servers: make(map[model.ServerName]*process), address: make(map[model.ServerName]string),
+		servers: make(map[model.ServerName]*child.Process), address: make(map[model.ServerName]string),
 	}
 	if err := t.start(ctx); err != nil {
 		t.Close()
@@ -124,9 +125,9 @@
 func (t *Tier) startPlatform() error {
 	var err error
 	if t.public, t.private, err = ed25519.GenerateKey(nil); err != nil {
-		return fmt.Errorf("%w: operator key: %w", ErrProcess, err)
+		return fmt.Errorf("%w: operator key: %w", child.ErrProcess, err)
 	}
-	p, addresses, err := start(t.log, 1, t.program("standin"), "platform", "-listen", loopback)
+	p, addresses, err := child.Start(t.log, 1, t.program("standin"), "platform", "-listen", child.Loopback)
 	if err != nil {
 		return err
 	}
@@ -141,13 +142,13 @@
 func (t *Tier) startServer(s Server) error {
 	raw, err := yaml.Marshal(map[string][]backend.Config{"backends": {s.config()}})
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	file := filepath.Join(t.options.Dir, string(s.Name)+".yaml")
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
-	p, addresses, err := start(t.log, 1, t.program("standin"), "backend", "-config", file)
+	p, addresses, err := child.Start(t.log, 1, t.program("standin"), "backend", "-config", file)
 	if err != nil {
 		return err
 	}
@@ -158,7 +159,7 @@
 
 // addDaemon chooses the addresses of a further daemon.
 func (t *Tier) addDaemon() error {
-	listen, err := freeAddresses(3)
+	listen, err := child.FreeAddresses(3)
 	if err != nil {
 		return err
 	}
@@ -177,10 +178,10 @@
 	d.runs++
 	file := filepath.Join(t.options.Dir, string(d.VM)+".yaml")
 	if err := os.WriteFile(file, []byte(t.settings(d)), 0o600); err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	var err error
-	d.process, _, err = start(t.log, 0, t.program("pistachiousherd"), "-settings", file)
+	d.process, _, err = child.Start(t.log, 0, t.program("pistachiousherd"), "-settings", file)
 	return err
 }
 
@@ -215,23 +216,23 @@
 }
 
 // KillDaemon kills the process of daemon i.
-func (t *Tier) KillDaemon(i int) { t.Daemons[i].process.kill() }
+func (t *Tier) KillDaemon(i int) { t.Daemons[i].process.Kill() }
 
 // StopDaemon ends the process of daemon i gracefully.
-func (t *Tier) StopDaemon(i int) error { return t.Daemons[i].process.stop() }
+func (t *Tier) StopDaemon(i int) error { return t.Daemons[i].process.Stop() }
 
 // PauseDaemon stops the process of daemon i without ending it; ResumeDaemon
 // lets it go on.
-func (t *Tier) PauseDaemon(i int) { t.Daemons[i].process.signal(syscall.SIGSTOP) }
+func (t *Tier) PauseDaemon(i int) { t.Daemons[i].process.Signal(syscall.SIGSTOP) }
 
 // ResumeDaemon ends a pause.
-func (t *Tier) ResumeDaemon(i int) { t.Daemons[i].process.signal(syscall.SIGCONT) }
+func (t *Tier) ResumeDaemon(i int) { t.Daemons[i].process.Signal(syscall.SIGCONT) }
 
 // PauseServer stops the process of a backend server without ending it.
-func (t *Tier) PauseServer(name model.ServerName) { t.servers[name].signal(syscall.SIGSTOP) }
+func (t *Tier) PauseServer(name model.ServerName) { t.servers[name].Signal(syscall.SIGSTOP) }
 
 // ResumeServer ends a pause.
-func (t *Tier) ResumeServer(name model.ServerName) { t.servers[name].signal(syscall.SIGCONT) }
+func (t *Tier) ResumeServer(name model.ServerName) { t.servers[name].Signal(syscall.SIGCONT) }
 
 // Callers returns the addresses for callers of all daemons.
 func (t *Tier) Callers() []string {
@@ -289,7 +290,7 @@
 			return nil
 		}
 		if time.Now().After(end) || ctx.Err() != nil {
-			return fmt.Errorf("%w: after %v: %w", ErrProcess, limit, err)
+			return fmt.Errorf("%w: after %v: %w", child.ErrProcess, limit, err)
 		}
 		time.Sleep(pollInterval)
 	}
@@ -334,11 +335,11 @@
 func (t *Tier) command(ctx context.Context, address, name string, body map[string]any, v any) error {
 	raw, err := json.Marshal(body)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/control/"+name, bytes.NewReader(raw))
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	return t.do(req, v)
 }
@@ -346,7 +347,7 @@
 func (t *Tier) get(ctx context.Context, address, path string, v any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	return t.do(req, v)
 }
@@ -354,17 +355,17 @@
 func (t *Tier) do(req *http.Request, v any) error {
 	resp, err := t.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrProcess, err)
+		return fmt.Errorf("%w: %w", child.ErrProcess, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w: %s: status %d", ErrProcess, req.URL, resp.StatusCode)
+		return fmt.Errorf("%w: %s: status %d", child.ErrProcess, req.URL, resp.StatusCode)
 	}
 	if v == nil {
 		return nil
 	}
 	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrProcess, req.URL, err)
+		return fmt.Errorf("%w: %s: %w", child.ErrProcess, req.URL, err)
 	}
 	return nil
 }
@@ -373,11 +374,11 @@
 func (t *Tier) Close() {
 	for _, d := range t.Daemons {
 		if d.process != nil {
-			d.process.kill()
+			d.process.Kill()
 		}
 	}
 	for _, p := range t.parts {
-		p.kill()
+		p.Kill()
 	}
 	t.log.Close()
 }
--- a/standin/processes/topology.go
+++ b/standin/processes/topology.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/standin/backend"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // The services of a tier. Queries of ServiceArchive touch all its shards.
@@ -99,7 +100,7 @@
 
 func (s Server) config() backend.Config {
 	return backend.Config{
-		Name: string(s.Name), Service: string(s.Service), Listen: loopback,
+		Name: string(s.Name), Service: string(s.Service), Listen: child.Loopback,
 		Slots: Slots, Connections: 50, ConnectCost: time.Millisecond,
 		ServiceTime: serviceTime, Jitter: serviceTime / 2,
 		Cold:   backend.Cold{Slots: 1, Requests: 20, Slowdown: 2},
--- a/test/process/harness_test.go
+++ b/test/process/harness_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 	"github.com/pistachiousher/pistachiousher/standin/processes"
 )
 
@@ -48,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	if err := processes.Build(context.Background(), dir); err != nil {
+	if err := child.Build(context.Background(), dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- a/test/replay/record_test.go
+++ b/test/replay/record_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/pkg/trace"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 	"github.com/pistachiousher/pistachiousher/standin/processes"
 )
 
@@ -51,7 +52,7 @@
 		return err
 	}
 	defer os.RemoveAll(bin)
-	if err := processes.Build(ctx, bin); err != nil {
+	if err := child.Build(ctx, bin); err != nil {
 		return err
 	}
 	changes := map[string]func(*processes.Tier) error{
