Start the graceful stop of daemons outside the panel when their VM leaves

Cause: only panel members read the VM list, and nobody called ToldToLeave, so a daemon outside the panel went on when its VM was listed as leaving. Change: a daemon that the epoch marks as leaving starts its stop. Conclusion: TestDaemonOutsidePanelLeaves fails before and passes after.

--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -90,6 +90,10 @@
 	}
 	s.bundle, s.controls = bundle, controls
 	s.noteDomain(m)
+	// Only panel members read the VM list; the others learn from the epoch.
+	if s.membership.ToldToLeave() {
+		s.stop.begin(s, m, "the epoch says that this VM is leaving", out)
+	}
 	s.nextRefresh = m.Now.Add(refreshInterval)
 	s.slots.Refresh(m, out)
 }
--- a/pkg/core/points_test.go
+++ b/pkg/core/points_test.go
@@ -330,3 +330,26 @@
 		t.Fatalf("no complete answer for %v, target %v", s.oracle.maxGap, settleTime)
 	}
 }
+
+// Guards against a daemon outside the panel that goes on although the VM list
+// says that its VM leaves: only panel members read the list.
+func TestDaemonOutsidePanelLeaves(t *testing.T) {
+	s := newScenario(t, 13)
+	for _, vm := range []model.VM{"e5", "e6", "e7", "e8"} {
+		s.start(vm, "c")
+	}
+	s.run(8 * time.Second)
+	for _, n := range s.nodes {
+		if st := n.state.Status(n.clock()); st.OnPanel || !st.Ready {
+			continue
+		}
+		s.platform.listVM(n.vm, model.VMLeaving)
+		s.load(10 * time.Second)
+		if !n.exited {
+			t.Fatalf("%s still runs 10 s after its VM was listed as leaving", n.vm)
+		}
+		s.finish(1000)
+		return
+	}
+	t.Fatal("every daemon is on the panel")
+}
