Ask the store anew when watches may have been cut off without notice

Ruled out: the partition of three daemons (all eight missed the version), a wrong order of versions. A watch now waits 2 s times the number of daemons that hear each other, 12 s at most, and a daemon that hears of a change asks at once.

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
 // Event is one input of the reducer.
@@ -197,6 +195,9 @@
 // FetchView reads configuration and leafs from another daemon.
 type FetchView struct{ From string }
 
+// RefreshView asks the store anew for what watches should have brought.
+type RefreshView struct{}
+
 // ApplyLimits makes the limits of a new configuration effective.
 type ApplyLimits struct{ Limits Limits }
 
@@ -226,6 +227,7 @@
 func (Refuse) effect()        {}
 func (Gossip) effect()        {}
 func (FetchView) effect()     {}
+func (RefreshView) effect()   {}
 func (ApplyLimits) effect()   {}
 func (CloseIdle) effect()     {}
 func (RemoveDaemon) effect()  {}
@@ -274,6 +276,3 @@
 	BudgetDenied int
 	Servers      string
 }
-
-// Now is the pair of clocks that an event carries.
-type Now = model.Time
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -23,6 +23,9 @@
 	// configPatience is how long a daemon waits for its own watch to bring a
 	// version that another daemon has.
 	configPatience = 250 * time.Millisecond
+	// refreshPatience is how long a daemon waits for its own watch to bring a
+	// change of leafs that another daemon knows of.
+	refreshPatience = 700 * time.Millisecond
 	// storePatience is how long the store may be away before the view of another
 	// daemon is used.
 	storePatience = 700 * time.Millisecond
@@ -52,7 +55,8 @@
 	FailureDomain string      `json:"failureDomain"`
 	State         DaemonState `json:"state"`
 	ConfigVersion uint64      `json:"configVersion"`
-	// ViewRevision is the store's revision of the daemon's list of leafs.
+	// ViewRevision is the store's revision of the latest change of leafs and
+	// evacuations that the daemon knows of.
 	ViewRevision uint64 `json:"viewRevision"`
 }
 
@@ -74,12 +78,20 @@
 	fetchAfter   model.Time
 	newerSince   model.Time
 	viewRevision uint64
+	// behindSince is when another daemon was first known to have seen a change up
+	// to behindAt that this one has not; refreshed is the last change for which
+	// the store was asked anew.
+	behindSince model.Time
+	behindAt    uint64
+	refreshed   uint64
 }
 
-// SetViewRevision notes the store's revision of the list of leafs in use.
+// SetViewRevision notes the store's revision of the latest change of leafs and
+// evacuations.
 func (s *State) SetViewRevision(r uint64) {
 	if r > s.members.viewRevision {
 		s.members.viewRevision = r
+		s.members.changed = true
 	}
 }
 
@@ -189,6 +201,7 @@
 	s.members.counter++
 	s.noteSilent()
 	s.fetchView()
+	s.refreshView()
 	if to := s.gossipTargets(); len(to) > 0 {
 		s.emit(Gossip{To: to, Daemons: s.gossipEntries()})
 	}
@@ -275,6 +288,27 @@
 	}
 }
 
+// refreshView asks the store anew when another daemon has known of a change
+// for a while: the own watch may be cut off without notice.
+func (s *State) refreshView() {
+	m := &s.members
+	newest := uint64(0)
+	for _, d := range s.daemons {
+		if s.alive(d) {
+			newest = max(newest, d.ViewRevision)
+		}
+	}
+	switch {
+	case s.storeDown || newest <= m.viewRevision || newest <= m.refreshed:
+		m.behindAt = 0
+	case m.behindAt == 0:
+		m.behindAt, m.behindSince = newest, s.now
+	case s.now.Sub(m.behindSince) >= refreshPatience:
+		m.refreshed, m.behindAt = newest, 0
+		s.emit(RefreshView{})
+	}
+}
+
 // bestView returns the living daemon with the newest configuration, then the
 // newest list of leafs; nil if none has anything newer than this daemon.
 func (s *State) bestView() *daemon {
@@ -328,3 +362,14 @@
 	}
 	return append(slices.Clone(homes), region)
 }
+
+// AliveDaemons returns the number of daemons that are heard, this one included.
+func (s *State) AliveDaemons() int {
+	n := 1
+	for _, d := range s.daemons {
+		if s.alive(d) {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -36,6 +36,7 @@
 type PeerLink interface {
 	Gossip(to []string, entries []gateway.DaemonEntry)
 	FetchView(from string)
+	RefreshView()
 }
 
 // StoreActions are the writes that the reducer asks for. They do not wait.
@@ -104,6 +105,8 @@
 		r.peers.Gossip(e.To, e.Daemons)
 	case gateway.FetchView:
 		r.peers.FetchView(e.From)
+	case gateway.RefreshView:
+		r.peers.RefreshView()
 	case gateway.ApplyLimits:
 		r.limits = e.Limits
 		r.onLimit(e.Limits)
@@ -143,3 +146,10 @@
 	defer r.mu.Unlock()
 	r.core.SetViewRevision(revision)
 }
+
+// AliveDaemons returns the number of daemons that are heard, this one included.
+func (r *Runtime) AliveDaemons() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.AliveDaemons()
+}
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -71,10 +71,16 @@
 }
 
 const (
-	// watchWait is how long a watch waits: the store counts each one as a call.
-	watchWait = 12 * time.Second
+	// watchFresh is how old a daemon's knowledge may get without a sign that it is
+	// still true: a watch may be cut off without notice.
+	watchFresh = 2 * time.Second
+	// maxWatchWait bounds the wait of a watch; the store counts each one as a call.
+	maxWatchWait = 12 * time.Second
+	// refreshWait is the wait of a watch that is made because another daemon knows
+	// of a change.
+	refreshWait = 300 * time.Millisecond
 	// watchSlack is the time that an answer may take after the wait.
-	watchSlack = 1500 * time.Millisecond
+	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds a list.
 	listTimeout = 2 * time.Second
 	// watchPause gathers changes of leafs, which come in series, in one answer.
@@ -88,8 +94,10 @@
 
 // Followed is the latest known state of a kind.
 type Followed struct {
-	Revision uint64                     `json:"revision"`
-	Objects  map[string]json.RawMessage `json:"objects"`
+	Revision uint64 `json:"revision"`
+	// Changed is the revision of the latest known change.
+	Changed uint64                     `json:"changed"`
+	Objects map[string]json.RawMessage `json:"objects"`
 }
 
 // View is the latest known state of all kinds, as daemons pass it on.
@@ -104,15 +112,38 @@
 	// onBad is told of objects that cannot be read.
 	onBad func(kind Kind, name string, err error)
 
+	// alive returns the number of daemons that tell each other of changes.
+	alive func() int
+
 	mu          sync.Mutex
 	view        View
-	failedCalls int
 	lastFailure time.Time
+	// waiting are the watches that Refresh cuts short.
+	waiting map[Kind]context.CancelFunc
+	refresh map[Kind]bool
+}
+
+// FollowerConfig is what a Follower is made of.
+type FollowerConfig struct {
+	Store   Store
+	Decoder Decoder
+	Post    func(gateway.Event)
+	// SetView is told of the revision of the latest change of leafs and
+	// evacuations.
+	SetView func(uint64)
+	// OnInvalid is told of objects that cannot be read.
+	OnInvalid func(kind Kind, name string, err error)
+	// Alive returns the number of daemons that tell each other of changes, this
+	// one included.
+	Alive func() int
 }
 
 // NewFollower returns a follower without a view.
-func NewFollower(s Store, d Decoder, post func(gateway.Event), setView func(uint64), onBad func(Kind, string, error)) *Follower {
-	return &Follower{store: s, decoder: d, post: post, setView: setView, onBad: onBad, view: View{}}
+func NewFollower(c FollowerConfig) *Follower {
+	return &Follower{
+		store: c.Store, decoder: c.Decoder, post: c.Post, setView: c.SetView, onBad: c.OnInvalid, alive: c.Alive,
+		view: View{}, waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{},
+	}
 }
 
 // Follow keeps one kind up to date until ctx ends.
@@ -142,14 +173,19 @@
 func (f *Follower) round(ctx context.Context, kind Kind) error {
 	f.mu.Lock()
 	known, ok := f.view[kind]
+	wait := f.watchWait(kind)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	f.waiting[kind] = cancel
 	f.mu.Unlock()
+	defer cancel()
 	if !ok {
 		return f.list(ctx, kind)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	changes, revision, err := f.store.Watch(ctx, kind, known.Revision, watchWait)
+	changes, revision, err := f.store.Watch(ctx, kind, known.Revision, wait)
 	if err != nil {
+		if f.refreshWanted(kind) {
+			return nil
+		}
 		return err
 	}
 	f.note(true)
@@ -157,6 +193,39 @@
 	return nil
 }
 
+// watchWait is how long to wait for changes of a kind. The more daemons tell
+// each other, the less often each has to ask. The caller holds the lock.
+func (f *Follower) watchWait(kind Kind) time.Duration {
+	if f.refresh[kind] {
+		delete(f.refresh, kind)
+		return refreshWait
+	}
+	if kind == KindDaemons {
+		return maxWatchWait
+	}
+	wait := min(watchFresh*time.Duration(f.alive()), maxWatchWait)
+	return wait*3/4 + rand.N(wait/4)
+}
+
+func (f *Follower) refreshWanted(kind Kind) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refresh[kind]
+}
+
+// Refresh asks the store anew because another daemon knows of a change that the
+// own watches did not bring.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, kind := range []Kind{KindConfig, KindServers, KindEvacuations} {
+		f.refresh[kind] = true
+		if cancel, ok := f.waiting[kind]; ok {
+			cancel()
+		}
+	}
+}
+
 func (f *Follower) list(ctx context.Context, kind Kind) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -168,6 +237,7 @@
 	next := Followed{Revision: revision, Objects: make(map[string]json.RawMessage, len(objects))}
 	for _, o := range objects {
 		next.Objects[o.Name] = o.Value
+		next.Changed = max(next.Changed, o.Revision)
 	}
 	f.replace(kind, next, "store")
 	return nil
@@ -184,10 +254,7 @@
 // change from working to failing and back.
 func (f *Follower) note(ok bool) {
 	f.mu.Lock()
-	if ok {
-		f.failedCalls = 0
-	} else {
-		f.failedCalls++
+	if !ok {
 		f.lastFailure = time.Now()
 	}
 	f.mu.Unlock()
@@ -226,7 +293,7 @@
 		for name, value := range known.Objects {
 			objects[name] = value
 		}
-		out[kind] = Followed{Revision: known.Revision, Objects: objects}
+		out[kind] = Followed{Revision: known.Revision, Changed: known.Changed, Objects: objects}
 	}
 	return out
 }
@@ -250,26 +317,30 @@
 		return
 	}
 	known.Revision = revision
+	latest := uint64(0)
 	for _, c := range changes {
+		latest = max(latest, c.Object.Revision)
 		if c.Deleted {
 			delete(known.Objects, c.Object.Name)
 		} else {
 			known.Objects[c.Object.Name] = c.Object.Value
 		}
 	}
+	known.Changed = max(known.Changed, latest)
 	f.view[kind] = known
 	f.mu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
 	if kind != KindServers {
-		if len(changes) > 0 {
-			f.postAll(kind, known, "store")
-		}
+		f.postAll(kind, known, "store")
 		return
 	}
 	outage := f.afterOutage()
 	for _, c := range changes {
 		f.postServer(c, outage)
 	}
-	f.setView(revision)
+	f.setView(known.Changed)
 }
 
 func (f *Follower) postServer(c Change, outage bool) {
@@ -300,13 +371,14 @@
 		f.postConfig(objects, source)
 	case KindServers:
 		f.post(f.servers(objects, source))
-		f.setView(known.Revision)
+		f.setView(known.Changed)
 	case KindEvacuations:
 		e := gateway.EvacuationsListed{}
 		for name := range objects {
 			e.FailureDomains = append(e.FailureDomains, name)
 		}
 		f.post(e)
+		f.setView(known.Changed)
 	case KindDaemons:
 		f.post(f.daemons(objects))
 	}
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -107,7 +107,10 @@
 		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Peers: link, Store: link,
 		OnLimits: func(l gateway.Limits) { idle.Set(l.IdleTimeout) },
 	})
-	d.follower = edge.NewFollower(p.NewStore(s.StoreAddress), p.Decoder, d.runtime.Post, d.runtime.SetViewRevision, d.invalidObject)
+	d.follower = edge.NewFollower(edge.FollowerConfig{
+		Store: p.NewStore(s.StoreAddress), Decoder: p.Decoder, Post: d.runtime.Post,
+		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Alive: d.runtime.AliveDaemons,
+	})
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
 	d.callers = &http.Server{Handler: d.runtime, ReadHeaderTimeout: headerTimeout, ConnState: idle.ConnState}
 	return d
@@ -122,6 +125,9 @@
 // FetchView implements edge.PeerLink.
 func (l *lateLinks) FetchView(from string) { l.d.peers.FetchView(from) }
 
+// RefreshView implements edge.PeerLink.
+func (l *lateLinks) RefreshView() { l.d.follower.Refresh() }
+
 // RemoveDaemon implements edge.StoreActions.
 func (l *lateLinks) RemoveDaemon(name string) { l.d.follower.RemoveDaemon(name) }
 
