Spread watch waits by rank; never take the reducer's lock inside the follower's

Ruled out: too few watches in sum (4 daemons heard each other). Found by reading: the follower asked the reducer for the number of daemons while it held its own lock, the reverse order of Refresh, a deadlock.

--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -363,13 +363,18 @@
 	return append(slices.Clone(homes), region)
 }
 
-// AliveDaemons returns the number of daemons that are heard, this one included.
-func (s *State) AliveDaemons() int {
-	n := 1
-	for _, d := range s.daemons {
-		if s.alive(d) {
-			n++
+// AliveRank returns this daemon's place by name among those that are heard,
+// from 0, and their number.
+func (s *State) AliveRank() (place, count int) {
+	count = 1
+	for name, d := range s.daemons {
+		if !s.alive(d) {
+			continue
+		}
+		count++
+		if name < s.opt.Self.Name {
+			place++
 		}
 	}
-	return n
+	return place, count
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -147,9 +147,10 @@
 	r.core.SetViewRevision(revision)
 }
 
-// AliveDaemons returns the number of daemons that are heard, this one included.
-func (r *Runtime) AliveDaemons() int {
+// AliveRank returns this daemon's place among those that are heard, from 0, and
+// their number.
+func (r *Runtime) AliveRank() (place, count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.AliveDaemons()
+	return r.core.AliveRank()
 }
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -71,8 +71,8 @@
 }
 
 const (
-	// watchFresh is how old a daemon's knowledge may get without a sign that it is
-	// still true: a watch may be cut off without notice.
+	// watchFresh is the time within which one of the daemons that hear each other
+	// asks the store anew: a watch may be cut off without notice.
 	watchFresh = 2 * time.Second
 	// maxWatchWait bounds the wait of a watch; the store counts each one as a call.
 	maxWatchWait = 12 * time.Second
@@ -112,8 +112,9 @@
 	// onBad is told of objects that cannot be read.
 	onBad func(kind Kind, name string, err error)
 
-	// alive returns the number of daemons that tell each other of changes.
-	alive func() int
+	// rank returns this daemon's place among those that tell each other of
+	// changes, from 0, and their number.
+	rank func() (place, count int)
 
 	mu          sync.Mutex
 	view        View
@@ -121,6 +122,8 @@
 	// waiting are the watches that Refresh cuts short.
 	waiting map[Kind]context.CancelFunc
 	refresh map[Kind]bool
+	// changed are the kinds whose last watch brought a change.
+	changed map[Kind]bool
 }
 
 // FollowerConfig is what a Follower is made of.
@@ -133,16 +136,16 @@
 	SetView func(uint64)
 	// OnInvalid is told of objects that cannot be read.
 	OnInvalid func(kind Kind, name string, err error)
-	// Alive returns the number of daemons that tell each other of changes, this
-	// one included.
-	Alive func() int
+	// Rank returns this daemon's place among those that tell each other of
+	// changes, from 0, and their number.
+	Rank func() (place, count int)
 }
 
 // NewFollower returns a follower without a view.
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
-		store: c.Store, decoder: c.Decoder, post: c.Post, setView: c.SetView, onBad: c.OnInvalid, alive: c.Alive,
-		view: View{}, waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{},
+		store: c.Store, decoder: c.Decoder, post: c.Post, setView: c.SetView, onBad: c.OnInvalid, rank: c.Rank,
+		view: View{}, waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{}, changed: map[Kind]bool{},
 	}
 }
 
@@ -171,9 +174,11 @@
 
 // round lists the kind, or waits for its next changes.
 func (f *Follower) round(ctx context.Context, kind Kind) error {
+	// The reducer's lock is never taken inside f.mu: effects take f.mu inside it.
+	place, count := f.rank()
 	f.mu.Lock()
 	known, ok := f.view[kind]
-	wait := f.watchWait(kind)
+	wait := f.watchWait(kind, place, count)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	f.waiting[kind] = cancel
 	f.mu.Unlock()
@@ -193,9 +198,10 @@
 	return nil
 }
 
-// watchWait is how long to wait for changes of a kind. The more daemons tell
-// each other, the less often each has to ask. The caller holds the lock.
-func (f *Follower) watchWait(kind Kind) time.Duration {
+// watchWait is how long to wait for changes of a kind. A change ends the
+// watches of all daemons at once, so the next waits are spread by rank; later
+// ones keep the distance. The caller holds the lock.
+func (f *Follower) watchWait(kind Kind, place, count int) time.Duration {
 	if f.refresh[kind] {
 		delete(f.refresh, kind)
 		return refreshWait
@@ -203,8 +209,11 @@
 	if kind == KindDaemons {
 		return maxWatchWait
 	}
-	wait := min(watchFresh*time.Duration(f.alive()), maxWatchWait)
-	return wait*3/4 + rand.N(wait/4)
+	turns := count
+	if f.changed[kind] {
+		turns = place + 1
+	}
+	return min(watchFresh*time.Duration(turns), maxWatchWait)
 }
 
 func (f *Follower) refreshWanted(kind Kind) bool {
@@ -305,6 +314,7 @@
 		return
 	}
 	f.view[kind] = next
+	f.changed[kind] = true
 	f.mu.Unlock()
 	f.postAll(kind, next, source)
 }
@@ -328,6 +338,7 @@
 	}
 	known.Changed = max(known.Changed, latest)
 	f.view[kind] = known
+	f.changed[kind] = len(changes) > 0
 	f.mu.Unlock()
 	if len(changes) == 0 {
 		return
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -109,7 +109,7 @@
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress), Decoder: p.Decoder, Post: d.runtime.Post,
-		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Alive: d.runtime.AliveDaemons,
+		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Rank: d.runtime.AliveRank,
 	})
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
 	d.callers = &http.Server{Handler: d.runtime, ReadHeaderTimeout: headerTimeout, ConnState: idle.ConnState}
