--- a/cmd/pistachiousher-edge/main.go
+++ b/cmd/pistachiousher-edge/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net/http"
@@ -28,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	return edged.Run(settings, edged.Platform{
+	return edged.Run(context.Background(), settings, edged.Platform{
 		Protocol: platform.Protocol{},
 		Decoder:  platform.Decoder{},
 		NewStore: func(address string) edge.Store {
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -64,20 +64,21 @@
 	callers  *http.Server
 }
 
-// Run runs a daemon until it has stopped after a signal, or until it fails.
-func Run(s *Settings, p Platform, logOutput io.Writer) error {
+// Run runs a daemon until it has stopped gracefully, which SIGTERM, SIGINT or
+// the end of ctx start, or until it fails.
+func Run(ctx context.Context, s *Settings, p Platform, logOutput io.Writer) error {
 	listeners, err := listen(s)
 	if err != nil {
 		return err
 	}
 	d := newDaemon(s, p, listeners, logOutput)
 	var g run.Group
-	ctx, cancel := context.WithCancel(context.Background())
+	follow, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d.addFollower(ctx, cancel, &g)
+	d.addFollower(follow, cancel, &g)
 	d.addServers(&g, p, listeners)
 	d.addPeers(&g, listeners)
-	d.addSignals(&g)
+	d.addSignals(ctx, &g)
 	d.addLog(&g)
 	err = g.Run()
 	d.pool.Close()
@@ -203,10 +204,20 @@
 	addServer(g, "view", &http.Server{Handler: d.peers.Handler(), ReadHeaderTimeout: headerTimeout}, l.view)
 }
 
+// addServer adds a listener. A server that is shut down does not end the group,
+// since its open requests are still to be answered.
 func addServer(g *run.Group, name string, s *http.Server, ln net.Listener) {
+	closed := make(chan struct{})
 	g.Add(func() error {
-		return fmt.Errorf("edged: %s listener: %w", name, s.Serve(ln))
-	}, func(error) { s.Close() })
+		err := s.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-closed
+		}
+		return fmt.Errorf("edged: %s listener: %w", name, err)
+	}, func(error) {
+		close(closed)
+		s.Close()
+	})
 }
 
 func (d *daemon) addPeers(g *run.Group, l *listeners) {
@@ -225,7 +236,7 @@
 
 // addSignals adds the graceful shutdown on SIGTERM and SIGINT. SIGHUP has the
 // settings checked.
-func (d *daemon) addSignals(g *run.Group) {
+func (d *daemon) addSignals(ctx context.Context, g *run.Group) {
 	signals := make(chan os.Signal, 4)
 	done := make(chan struct{})
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -240,6 +251,9 @@
 				}
 				d.stop(done)
 				return errStopped
+			case <-ctx.Done():
+				d.stop(done)
+				return errStopped
 			case <-done:
 				return nil
 			}
--- /dev/null
+++ b/standin/leaf/leaf.go
@@ -0,0 +1,177 @@
+// Package leaf is a stand-in for a leaf of the users' platform, for tests. It
+// runs a limited number of requests at once, can be slow, shed, lose answers
+// and send an answer twice, and records what it ran.
+package leaf
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Leaf is one leaf. Its fields may be changed with Set.
+type Leaf struct {
+	ID     string
+	server *httptest.Server
+
+	mu       sync.Mutex
+	behavior Behavior
+	ran      []Run
+	arrivals []Run
+	open     int
+	cut      int
+}
+
+// Behavior says how a leaf answers.
+type Behavior struct {
+	// Work is how long a request runs.
+	Work time.Duration
+	// Body is the answer.
+	Body []byte
+	// Shed makes it reject requests without running them.
+	Shed bool
+	// Lose makes it run requests and close the connection.
+	Lose bool
+	// Fail makes it answer with 500.
+	Fail bool
+	// Extra makes it send a second, foreign answer on the same connection.
+	Extra bool
+}
+
+// Run is a request that arrived at a leaf.
+type Run struct {
+	RequestID string
+	Deadline  string
+	Method    string
+	Path      string
+	Body      string
+	At        time.Time
+}
+
+// Start starts a leaf on a free port of loopback.
+func Start(id string, b Behavior) *Leaf {
+	l := &Leaf{ID: id, behavior: b}
+	l.server = httptest.NewServer(l)
+	return l
+}
+
+// Close ends the leaf and its connections.
+func (l *Leaf) Close() {
+	l.server.CloseClientConnections()
+	l.server.Close()
+}
+
+// Address returns the leaf's ip:port.
+func (l *Leaf) Address() string { return l.server.Listener.Addr().(*net.TCPAddr).String() }
+
+// Set changes the behaviour of requests that arrive from now on.
+func (l *Leaf) Set(b Behavior) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.behavior = b
+}
+
+// Ran returns the requests that ran.
+func (l *Leaf) Ran() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.ran...)
+}
+
+// Arrivals returns the requests that arrived.
+func (l *Leaf) Arrivals() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.arrivals...)
+}
+
+// Cut returns the number of requests whose caller left while they ran.
+func (l *Leaf) Cut() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body := make([]byte, max(0, r.ContentLength))
+	_, _ = r.Body.Read(body)
+	run := Run{
+		RequestID: r.Header.Get("X-Pistachiousher-Request-Id"), Deadline: r.Header.Get("X-Pistachiousher-Deadline-Ms"),
+		Method: r.Method, Path: r.RequestURI, Body: string(body), At: time.Now(),
+	}
+	l.mu.Lock()
+	l.arrivals = append(l.arrivals, run)
+	b := l.behavior
+	l.mu.Unlock()
+	if r.Header.Get("X-Pistachiousher-Expect-Instance") != l.ID {
+		w.Header().Set("X-Pistachiousher-Instance-Id", l.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if b.Shed {
+		w.Header().Set("X-Pistachiousher-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	l.mu.Lock()
+	l.ran = append(l.ran, run)
+	l.open++
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.open--
+		l.mu.Unlock()
+	}()
+	select {
+	case <-time.After(b.Work):
+	case <-r.Context().Done():
+		l.mu.Lock()
+		l.cut++
+		l.mu.Unlock()
+		return
+	}
+	l.answer(w, run, b)
+}
+
+func (l *Leaf) answer(w http.ResponseWriter, run Run, b Behavior) {
+	if b.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set("X-Pistachiousher-Request-Id", run.RequestID)
+	h.Set("X-Pistachiousher-Server-Stamp", l.ID+"."+run.RequestID)
+	h.Set("X-Pistachiousher-Server-Load", "1,0,2")
+	if b.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if b.Extra {
+		l.answerTwice(w, run, b)
+		return
+	}
+	// A failed write means that the caller has left.
+	_, _ = w.Write(b.Body)
+}
+
+// answerTwice sends the answer and, some time later, another one that no
+// request asked for.
+func (l *Leaf) answerTwice(w http.ResponseWriter, run Run, b Behavior) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	send := func(id, stamp string) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Pistachiousher-Request-Id: %s\r\nX-Pistachiousher-Server-Stamp: %s\r\n\r\n%s",
+			len(b.Body), id, stamp, b.Body)
+	}
+	send(run.RequestID, l.ID+"."+run.RequestID)
+	time.Sleep(extraDelay)
+	send("another", l.ID+".another")
+}
+
+// extraDelay is the time between an answer and the one that follows unasked.
+const extraDelay = 20 * time.Millisecond
--- /dev/null
+++ b/standin/objects/objects.go
@@ -0,0 +1,279 @@
+// Package objects is a stand-in for the store of the users' platform, for
+// tests: objects by kind and name with one revision counter, conditional
+// updates, watches, and the faults that the platform's pages describe.
+package objects
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Meta is the part of an object that the store keeps.
+type Meta struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// Object is one object.
+type Object struct {
+	Meta   Meta            `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type change struct {
+	kind    string
+	object  Object
+	deleted bool
+}
+
+// Store is an http.Handler. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]Object
+	history  []change
+	first    uint64
+	changed  chan struct{}
+	down     bool
+	calls    int
+	cut      chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{kinds: map[string]map[string]Object{}, changed: make(chan struct{}), cut: make(chan struct{})}
+}
+
+// Put writes an object as its operator or leaf does.
+func (s *Store) Put(kind, name string, spec any) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, data)
+}
+
+func (s *Store) write(kind, name string, spec json.RawMessage) Object {
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]Object{}
+	}
+	o, ok := s.kinds[kind][name]
+	if ok && string(o.Spec) == string(spec) {
+		return o
+	}
+	s.revision++
+	if !ok {
+		o.Meta = Meta{Name: name, Created: s.revision, Finalizers: []string{}}
+	}
+	o.Meta.Revision, o.Spec = s.revision, spec
+	s.kinds[kind][name] = o
+	s.publish(change{kind: kind, object: o})
+	return o
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.kinds[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.kinds[kind], name)
+	s.revision++
+	o.Meta.Revision = s.revision
+	s.publish(change{kind: kind, object: o, deleted: true})
+}
+
+// publish wakes the watches. The caller holds the lock.
+func (s *Store) publish(c change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetDown makes every call fail with 503, and watches end.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.cutWatches()
+}
+
+// Compact drops the history and leaves the watches that are waiting without any
+// answer.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.first = s.revision
+	s.cutWatches()
+}
+
+// cutWatches ends the watches that are waiting. The caller holds the lock.
+func (s *Store) cutWatches() {
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Names returns the names of the objects of a kind in order.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name := range s.kinds[kind] {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/objects/{kind}", s.get)
+	mux.HandleFunc("POST /api/objects/{kind}", s.create)
+	mux.HandleFunc("PUT /api/objects/{kind}/{name}", s.replace)
+	mux.HandleFunc("DELETE /api/objects/{kind}/{name}", s.remove)
+	mux.ServeHTTP(w, r)
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		s.watch(w, r)
+		return
+	}
+	s.mu.Lock()
+	items := []Object{}
+	for name, o := range s.kinds[r.PathValue("kind")] {
+		if name > r.URL.Query().Get("after") {
+			items = append(items, o)
+		}
+	}
+	asOf := s.revision
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b Object) int { return cmp.Compare(a.Meta.Name, b.Meta.Name) })
+	const page = 50
+	more := len(items) > page
+	reply(w, http.StatusOK, map[string]any{"items": items[:min(len(items), page)], "more": more, "asOf": asOf})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, err2 := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	kind := r.PathValue("kind")
+	for {
+		s.mu.Lock()
+		gone := since < s.first
+		events := s.since(kind, since)
+		asOf, changed, cut := s.revision, s.changed, s.cut
+		s.mu.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || ctx.Err() != nil:
+			reply(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			return
+		}
+		select {
+		case <-changed:
+		case <-cut:
+			// The connection stays open and nothing more comes on it.
+			<-r.Context().Done()
+			return
+		case <-ctx.Done():
+		}
+	}
+}
+
+// since returns the changes of a kind after a revision. The caller holds the
+// lock.
+func (s *Store) since(kind string, revision uint64) []map[string]any {
+	out := []map[string]any{}
+	for _, c := range s.history {
+		if c.kind == kind && c.object.Meta.Revision > revision {
+			out = append(out, map[string]any{"object": c.object, "deleted": c.deleted})
+		}
+	}
+	return out
+}
+
+func (s *Store) create(w http.ResponseWriter, r *http.Request) {
+	var o Object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Meta.Name == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.kinds[r.PathValue("kind")][o.Meta.Name]; ok {
+		reply(w, http.StatusConflict, known)
+		return
+	}
+	reply(w, http.StatusOK, s.write(r.PathValue("kind"), o.Meta.Name, o.Spec))
+}
+
+func (s *Store) replace(w http.ResponseWriter, r *http.Request) {
+	var o Object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.kinds[r.PathValue("kind")][r.PathValue("name")]
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	case o.Meta.Revision != 0 && o.Meta.Revision != known.Meta.Revision:
+		reply(w, http.StatusConflict, known)
+	default:
+		reply(w, http.StatusOK, s.write(r.PathValue("kind"), r.PathValue("name"), o.Spec))
+	}
+}
+
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	s.Delete(r.PathValue("kind"), r.PathValue("name"))
+	w.WriteHeader(http.StatusOK)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller has left.
+	_ = json.NewEncoder(w).Encode(body)
+}
