--- /dev/null
+++ b/pkg/core/gateway/gateway_test.go
@@ -0,0 +1,385 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a request that goes to a wrong service: the longest prefix of
+// the host wins, the query string and the port do not count.
+func TestMatch(t *testing.T) {
+	c := &Config{Routes: []*Route{plain("/a/", "1"), plain("/a/b/", "2"), {Name: "x", Host: "Other", PathPrefix: "/"}}}
+	c.index()
+	for _, x := range []struct{ host, path, want string }{
+		{"h", "/a/b/c", "/a/b/"}, {"H:8080", "/a/bc", "/a/"}, {"h", "/a", ""}, {"h", "/x?y=/a/", ""},
+		{"other", "/anything", "x"}, {"none", "/a/", ""}, {"h", "/a/?/a/b/", "/a/"},
+	} {
+		got := ""
+		if r := c.Match(x.host, x.path); r != nil {
+			got = r.Name
+		}
+		if got != x.want {
+			t.Errorf("%s%s: route %q, want %q", x.host, x.path, got, x.want)
+		}
+	}
+}
+
+// Guards against shares of a traffic split that drift from their weights.
+func TestSplit(t *testing.T) {
+	w := newWorld(t)
+	r := plain("/s/", "")
+	r.Targets = []Target{{"x", 3}, {"y", 1}}
+	w.configure(1, nil, r)
+	w.leafs(2, "x", "y")
+	count := map[string]int{}
+	for range 40 {
+		q := w.request("/s/", time.Second)
+		c := w.calls(q)[0]
+		count[c.Server[:1]]++
+		w.done(c, OutcomeSucceeded)
+	}
+	if count["x"] != 30 || count["y"] != 10 {
+		t.Errorf("shares %v, want 30 and 10", count)
+	}
+}
+
+// Guards against a configuration that goes back, and against requests served
+// before any is known.
+func TestConfigNeverReverts(t *testing.T) {
+	w := newWorld(t)
+	if q := w.request("/r/", time.Second); w.final[q].(Refuse).Reason != RefusalNoConfig {
+		t.Errorf("without configuration: %+v", w.final[q])
+	}
+	w.leafs(1, "old", "new")
+	w.configure(5, nil, plain("/r/", "new"))
+	w.configure(4, nil, plain("/r/", "old"))
+	w.configure(5, nil, plain("/r/", "old"))
+	q := w.request("/r/", time.Second)
+	if c := w.calls(q); len(c) != 1 || c[0].Server != "new-0" {
+		t.Errorf("attempts %+v", c)
+	}
+	if w.s.Version() != 5 || w.logged(LogConfigIgnored) != 1 {
+		t.Errorf("version %d, %d ignored", w.s.Version(), w.logged(LogConfigIgnored))
+	}
+}
+
+// Guards against a request that is not idempotent and runs twice, and against
+// a refusal that promises "not run" for one that may have run.
+func TestNotIdempotent(t *testing.T) {
+	r := plain("/u/", "x")
+	r.Idempotent, r.MaxAttempts = false, 3
+	for _, x := range []struct {
+		first Outcome
+		calls int
+		want  Refusal
+	}{
+		{OutcomeNotSent, 2, RefusalOverload}, {OutcomeNotExecuted, 2, RefusalOverload},
+		{OutcomeWrongServer, 2, RefusalOverload}, {OutcomeLost, 1, RefusalFailed},
+	} {
+		w := newWorld(t)
+		w.configure(1, nil, r)
+		w.leafs(2, "x")
+		q := w.request("/u/", time.Second)
+		w.pass(300 * time.Millisecond)
+		w.done(w.calls(q)[0], x.first)
+		for len(w.calls(q)) > 0 {
+			w.done(w.calls(q)[0], OutcomeNotExecuted)
+		}
+		if len(w.sent) < x.calls || (x.calls == 1 && len(w.sent) > 1) {
+			t.Errorf("%v: %d attempts, want %d", x.first, len(w.sent), x.calls)
+		}
+		got, ok := w.final[q].(Refuse)
+		if !ok || got.Reason != x.want {
+			t.Errorf("%v: final answer %+v, want %v", x.first, w.final[q], x.want)
+		}
+	}
+}
+
+// Guards against a leaf's failure that is replaced by the daemon's own answer.
+func TestLeafFailureIsForwarded(t *testing.T) {
+	w := newWorld(t)
+	r := plain("/u/", "x")
+	r.Idempotent = false
+	w.configure(1, nil, r)
+	w.leafs(2, "x")
+	q := w.request("/u/", time.Second)
+	c := w.calls(q)[0]
+	w.done(c, OutcomeFailed)
+	if got := w.final[q]; got != (ForwardAnswer{Query: q, Call: c.Call}) {
+		t.Errorf("final answer %+v", got)
+	}
+}
+
+// Guards against more attempts than MaxAttempts, and a shard that is asked at
+// the same leaf twice while another is free.
+func TestHedge(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, nil, scatter("/all/", 0.5, "x", "y"))
+	w.leafs(2, "x", "y")
+	q := w.request("/all/", time.Second)
+	first := w.calls(q)
+	w.done(first[1], OutcomeSucceeded)
+	w.pass(100 * time.Millisecond)
+	all := w.calls(q)
+	if len(all) != 2 || all[0].Server == all[1].Server {
+		t.Fatalf("open attempts after the hedge delay: %+v", all)
+	}
+	w.pass(50 * time.Millisecond)
+	if len(w.sent) != 3 {
+		t.Errorf("%d attempts in all, want 3", len(w.sent))
+	}
+	w.done(all[1], OutcomeSucceeded)
+	got, ok := w.final[q].(MergeAnswer)
+	if !ok || got.Missing != 0 || len(got.Calls) != 2 {
+		t.Errorf("final answer %+v", w.final[q])
+	}
+}
+
+// Guards against a query that waits for a shard past the latency target though
+// enough are in, and against one that is answered with too few.
+func TestPartialAnswer(t *testing.T) {
+	shards := names("s", 10)
+	for _, x := range []struct {
+		silent  int
+		partial bool
+	}{{1, true}, {2, false}} {
+		w := newWorld(t)
+		w.configure(1, nil, scatter("/all/", 0.89, shards...))
+		w.leafs(1, shards...)
+		q := w.request("/all/", time.Second)
+		for _, c := range w.calls(q)[x.silent:] {
+			w.done(c, OutcomeSucceeded)
+		}
+		w.pass(195 * time.Millisecond)
+		got, ok := w.final[q].(MergeAnswer)
+		if ok != x.partial || (ok && got.Missing != x.silent) {
+			t.Errorf("%d silent: answer %+v at the latency target", x.silent, w.final[q])
+		}
+		if !ok {
+			w.done(w.calls(q)[0], OutcomeSucceeded)
+			if got, ok := w.final[q].(MergeAnswer); !ok || got.Missing != 1 {
+				t.Errorf("answer %+v when enough shards are in", w.final[q])
+			}
+		}
+	}
+}
+
+// Guards against a final answer that comes later than the route's timeout or
+// the caller's deadline.
+func TestDeadline(t *testing.T) {
+	for _, wait := range []time.Duration{300 * time.Millisecond, 5 * time.Second} {
+		w := newWorld(t)
+		w.configure(1, nil, plain("/r/", "x"))
+		w.leafs(2, "x")
+		q := w.request("/r/", wait)
+		w.pass(min(wait, 2*time.Second))
+		if got, ok := w.final[q].(Refuse); !ok || got.Reason != RefusalDeadline {
+			t.Errorf("wait %v: final answer %+v", wait, w.final[q])
+		}
+	}
+}
+
+// Guards against hedges and retries beyond the share of requests and slack that
+// all daemons together may use.
+func TestRetryBudget(t *testing.T) {
+	const daemons, requests = 4, 300
+	var entries []DaemonEntry
+	for _, name := range names("e", daemons-1) {
+		entries = append(entries, DaemonEntry{Name: name, PeerAddress: "10.0.0.2:70"})
+	}
+	w := newWorldWith(t, Options{RetryRatio: 0.2, RetrySlack: 40})
+	w.configure(1, nil, plain("/r/", "x"))
+	w.leafs(4, "x")
+	w.post(DaemonsListed{Daemons: entries})
+	for range requests {
+		q := w.request("/r/", time.Second)
+		for len(w.calls(q)) > 0 {
+			w.done(w.calls(q)[0], OutcomeFailed)
+		}
+		w.pass(time.Millisecond)
+	}
+	extra := len(w.sent) - requests
+	if most := int(0.2*requests + 40.0/daemons); extra > most {
+		t.Errorf("%d attempts beyond the first, of this daemon's %d", extra, most)
+	}
+	if extra < int(0.15*requests) {
+		t.Errorf("only %d attempts beyond the first", extra)
+	}
+}
+
+// Guards against a cold leaf that gets more requests in a second than it bears,
+// summed over all daemons.
+func TestColdLeaf(t *testing.T) {
+	const daemons, perSecond = 4, 8.0
+	var entries []DaemonEntry
+	for _, name := range names("e", daemons-1) {
+		entries = append(entries, DaemonEntry{Name: name, PeerAddress: "10.0.0.2:70"})
+	}
+	w := newWorld(t)
+	w.post(DaemonsListed{Daemons: entries})
+	w.configure(1, map[string]ServiceConfig{"x": {WarmUp: 3 * time.Second, WarmUpPerSecond: perSecond}}, plain("/r/", "x"))
+	w.post(ServersListed{Servers: []Server{{ID: "x-0", Service: "x", Slots: 4, FailureDomain: "a", WarmUpLeft: 3 * time.Second}}})
+	for second := range 3 {
+		before := len(w.sent)
+		for range 100 {
+			w.request("/r/", 200*time.Millisecond)
+			for _, c := range w.open {
+				w.done(c, OutcomeSucceeded)
+			}
+			w.pass(10 * time.Millisecond)
+		}
+		// The bound of the sum is 1.5 x the rate + 5; each daemon keeps a quarter.
+		if got := len(w.sent) - before; float64(got) > (1.5*perSecond+5)/daemons {
+			t.Errorf("%d requests in second %d at this one of %d daemons", got, second, daemons)
+		}
+	}
+	w.pass(time.Second)
+	before := len(w.sent)
+	for range 10 {
+		q := w.request("/r/", time.Second)
+		w.done(w.calls(q)[0], OutcomeSucceeded)
+	}
+	if got := len(w.sent) - before; got != 10 {
+		t.Errorf("%d of 10 requests were sent to the warm leaf", got)
+	}
+}
+
+// Guards against new work at leafs that drain, are gone, or are in an evacuated
+// failure domain; a domain that returns is cold.
+func TestLeavingLeafs(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, map[string]ServiceConfig{"x": {WarmUp: time.Second, WarmUpPerSecond: 1}}, plain("/r/", "x"))
+	w.leafs(3, "x")
+	w.post(ServerChanged{Server: Server{ID: "x-0", Service: "x", Address: "10.1.0.1:80", FailureDomain: "a", Slots: 4, Draining: true}})
+	w.post(ServerRemoved{ID: "x-2"})
+	w.post(EvacuationsListed{FailureDomains: []string{"b"}})
+	if q := w.request("/r/", time.Second); w.final[q].(Refuse).Reason != RefusalOverload || len(w.sent) != 0 {
+		t.Errorf("final answer %+v after %d attempts", w.final[q], len(w.sent))
+	}
+	w.post(EvacuationsListed{})
+	w.pass(time.Second)
+	for range 5 {
+		w.request("/r/", 100*time.Millisecond)
+	}
+	if len(w.sent) != 1 {
+		t.Errorf("%d requests at once to a leaf of a domain that has just returned, which bears 1 a second", len(w.sent))
+	}
+}
+
+// Guards against entries that lapse in an outage of the store: they are used
+// for about two seconds after its return and no longer.
+func TestLapsedEntries(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, nil, plain("/r/", "x"))
+	w.leafs(1, "x")
+	w.post(ServersListed{AfterOutage: true})
+	w.pass(1500 * time.Millisecond)
+	if q := w.request("/r/", time.Second); len(w.calls(q)) != 1 {
+		t.Errorf("final answer %+v while the entry may come back", w.final[q])
+	}
+	w.pass(1500 * time.Millisecond)
+	if q := w.request("/r/", time.Second); w.final[q].(Refuse).Reason != RefusalNoServer {
+		t.Errorf("final answer %+v after the entry is gone", w.final[q])
+	}
+}
+
+// Guards against more connections to a leaf than all daemons may open.
+func TestConnectionLimit(t *testing.T) {
+	w := newWorld(t)
+	w.post(DaemonsListed{Daemons: []DaemonEntry{{Name: "d2", PeerAddress: "10.0.0.2:70"}}})
+	w.configure(1, map[string]ServiceConfig{"x": {MaxConnections: 10}}, plain("/r/", "x"))
+	w.leafs(1, "x")
+	var first QueryID
+	for i := range 20 {
+		q := w.request("/r/", time.Second)
+		if i == 0 {
+			first = q
+		}
+	}
+	if len(w.sent) > 5 {
+		t.Errorf("%d attempts at once at a leaf that accepts 10 connections of 2 daemons", len(w.sent))
+	}
+	before := len(w.sent)
+	w.done(w.calls(first)[0], OutcomeSucceeded)
+	if len(w.sent) != before+1 {
+		t.Error("a waiting request was not sent when a connection was free")
+	}
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallerGone(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, nil, scatter("/all/", 0.5, "x", "y"))
+	w.leafs(2, "x", "y")
+	q := w.request("/all/", time.Second)
+	w.post(CallerGone{Query: q})
+	cancelled := 0
+	for _, e := range w.other {
+		if _, ok := e.(CancelCall); ok {
+			cancelled++
+		}
+	}
+	if cancelled != 2 {
+		t.Errorf("%d of 2 attempts were cancelled", cancelled)
+	}
+	if w.s.OpenQueries() != 0 || w.final[q] != nil {
+		t.Errorf("open %d, final %v", w.s.OpenQueries(), w.final[q])
+	}
+}
+
+// Guards against leafs outside the home regions of a route.
+func TestHomeRegions(t *testing.T) {
+	w := newWorld(t)
+	r := plain("/r/", "x")
+	r.HomeRegions = []string{"south"}
+	w.configure(1, nil, r)
+	w.post(ServersListed{Servers: []Server{
+		{ID: "x-0", Service: "x", FailureDomain: "a", Slots: 1}, {ID: "x-1", Service: "x", FailureDomain: "c", Slots: 1},
+	}})
+	for range 20 {
+		q := w.request("/r/", time.Second)
+		for _, c := range w.calls(q) {
+			if c.Server != "x-1" {
+				t.Fatalf("sent to %s", c.Server)
+			}
+			w.done(c, OutcomeSucceeded)
+		}
+	}
+	if got := w.s.Directory("h", "north"); len(got) != 1 {
+		t.Errorf("directory for a caller of this daemon's region: %v", got)
+	}
+	if got := w.s.Directory("h", "west"); len(got) != 0 {
+		t.Errorf("directory names daemons outside the home regions: %v", got)
+	}
+}
+
+// Guards against a leaf that is slow or fails and gets as much work as others.
+func TestChoiceAvoidsBadLeaf(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		latency time.Duration
+		outcome Outcome
+	}{{"slow", 400 * time.Millisecond, OutcomeSucceeded}, {"failing", 5 * time.Millisecond, OutcomeFailed}} {
+		w := newWorld(t)
+		r := plain("/r/", "x")
+		r.Idempotent = false
+		w.configure(1, nil, r)
+		w.leafs(2, "x")
+		bad := 0
+		for range 400 {
+			q := w.request("/r/", time.Second)
+			c := w.calls(q)[0]
+			if c.Server == "x-0" {
+				bad++
+				w.pass(x.latency)
+				w.done(c, x.outcome)
+				continue
+			}
+			w.pass(20 * time.Millisecond)
+			w.done(c, OutcomeSucceeded)
+		}
+		if bad > 400/10 {
+			t.Errorf("%d of 400 requests at the %s leaf", bad, x.name)
+		}
+	}
+}
--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -29,6 +29,9 @@
 // hedge sends a second attempt of each part that has none and is still open.
 func (s *State) hedge(q *query) {
 	q.hedgeAt = model.Never
+	if s.now >= q.leafDeadline {
+		return
+	}
 	for i := range q.parts {
 		p := &q.parts[i]
 		if p.state != partOpen || p.arrivals >= q.route.MaxAttempts || p.openCalls() != 1 {
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -134,7 +134,11 @@
 // merge takes over an entry that is newer than the known one. Only a grown
 // counter is a sign of life.
 func (s *State) merge(e DaemonEntry, alive bool) *daemon {
-	if e.Name == s.opt.Self.Name || e.Name == "" || e.PeerAddress == "" {
+	if e.Name == s.opt.Self.Name {
+		s.outlive(e)
+		return nil
+	}
+	if e.Name == "" || e.PeerAddress == "" {
 		return nil
 	}
 	d, ok := s.daemons[e.Name]
@@ -149,6 +153,11 @@
 		return d
 	}
 	if e.Incarnation < d.Incarnation {
+		if alive {
+			// It may have started again with an earlier time of day: it must outlive
+			// the incarnation that is known here.
+			s.emit(Gossip{To: []string{e.PeerAddress}, Daemons: []DaemonEntry{s.self(), d.DaemonEntry}})
+		}
 		return d
 	}
 	newer := e.Incarnation > d.Incarnation || e.Counter > d.Counter
@@ -169,6 +178,16 @@
 	return d
 }
 
+// outlive takes a greater incarnation than the one that others know of this
+// daemon's name.
+func (s *State) outlive(known DaemonEntry) {
+	self := &s.opt.Self
+	if known.Incarnation > self.Incarnation {
+		self.Incarnation = known.Incarnation + 1
+		s.members.changed = true
+	}
+}
+
 func (s *State) daemonNames() []string {
 	names := make([]string, 0, len(s.daemons))
 	for name := range s.daemons {
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -118,6 +118,10 @@
 	q := s.newQuery(e, route)
 	s.queries[q.id] = q
 	for i := range q.parts {
+		if q.closed {
+			// Too few shards have a leaf.
+			return
+		}
 		s.start(q, i)
 	}
 	if !q.closed {
@@ -403,15 +407,18 @@
 	}
 }
 
+// expire looks at the latest time first: after a pause of the process all may
+// have passed, and nothing is sent after the deadline.
 func (s *State) expire(q *query) {
-	if q.hedgeAt <= s.now {
-		s.hedge(q)
+	if q.deadline <= s.now {
+		s.expireDeadline(q)
+		return
 	}
-	if q.answerBy <= s.now && !q.closed {
+	if q.answerBy <= s.now {
 		s.conclude(q)
 	}
-	if q.deadline <= s.now && !q.closed {
-		s.expireDeadline(q)
+	if q.hedgeAt <= s.now && !q.closed {
+		s.hedge(q)
 	}
 }
 
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -138,7 +138,7 @@
 	rest := svc.queue[:0]
 	for _, w := range svc.queue {
 		p := &w.query.parts[w.part]
-		if w.query.closed || p.state != partQueued {
+		if w.query.closed || p.state != partQueued || s.now >= w.query.leafDeadline {
 			continue
 		}
 		srv, verdict := s.choose(svc, w.query, p)
