--- a/pkg/core/gateway/scatter.go
+++ b/pkg/core/gateway/scatter.go
@@ -6,8 +6,8 @@
 	// answerShare is the part of the latency target that is left for the way to
 	// the caller and back, within the bounds below.
 	answerShare     = 0.08
-	minAnswerMargin = 5 * time.Millisecond
-	maxAnswerMargin = 20 * time.Millisecond
+	minAnswerMargin = 14 * time.Millisecond
+	maxAnswerMargin = 25 * time.Millisecond
 )
 
 // answerTime is how long a query over shards waits for all of them before a
--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -122,11 +122,17 @@
 		answer func(conn net.Conn)
 		want   error
 	}{
-		"short":      {func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nshort"); c.Close() }, ErrReceive},
-		"not HTTP":   {func(c net.Conn) { fmt.Fprint(c, "hello\r\n\r\n"); c.Close() }, ErrReceive},
-		"closed":     {func(c net.Conn) { c.Close() }, ErrReceive},
-		"foreign":    {func(c net.Conn) { respond(c, "b", "Connection: close\r\n", "x"); c.Close() }, ErrNotOurs},
-		"chunk torn": {func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"); c.Close() }, ErrReceive},
+		"short": {func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nshort")
+			c.Close()
+		}, ErrReceive},
+		"not HTTP": {func(c net.Conn) { fmt.Fprint(c, "hello\r\n\r\n"); c.Close() }, ErrReceive},
+		"closed":   {func(c net.Conn) { c.Close() }, ErrReceive},
+		"foreign":  {func(c net.Conn) { respond(c, "b", "Connection: close\r\n", "x"); c.Close() }, ErrNotOurs},
+		"chunk torn": {func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab")
+			c.Close()
+		}, ErrReceive},
 		"reset without length": {func(c net.Conn) {
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nabc")
 			time.Sleep(20 * time.Millisecond)
