Spread watches over the daemons that reach the store

Ruled out: a lost gossip message (all others were heard). Daemons now tell whether they reach the store; TestRankCountsDaemonsWithStore failed first.

--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -58,6 +58,8 @@
 	// ViewRevision is the store's revision of the latest change of leafs and
 	// evacuations that the daemon knows of.
 	ViewRevision uint64 `json:"viewRevision"`
+	// StoreDown means that the daemon's calls to the store fail.
+	StoreDown bool `json:"storeDown"`
 }
 
 // daemon is another daemon.
@@ -101,6 +103,7 @@
 	e.Counter = s.members.counter
 	e.ConfigVersion = s.Version()
 	e.ViewRevision = s.members.viewRevision
+	e.StoreDown = s.storeDown
 	switch {
 	case s.stopping:
 		e.State = DaemonLeaving
@@ -382,12 +385,12 @@
 	return append(slices.Clone(homes), region)
 }
 
-// AliveRank returns this daemon's place by name among those that are heard,
-// from 0, and their number.
+// AliveRank returns this daemon's place by name among those that are heard and
+// reach the store, from 0, and their number.
 func (s *State) AliveRank() (place, count int) {
 	count = 1
 	for name, d := range s.daemons {
-		if !s.alive(d) {
+		if !s.alive(d) || d.StoreDown {
 			continue
 		}
 		count++
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -140,3 +140,19 @@
 	}
 	return false
 }
+
+// Guards against watches of the store that are spread over daemons which cannot
+// reach it: the place counts only those that can.
+func TestRankCountsDaemonsWithStore(t *testing.T) {
+	w := newWorld(t)
+	cut := peerEntry("d0", 1, DaemonReady)
+	cut.StoreDown = true
+	w.post(GossipReceived{Daemons: []DaemonEntry{cut, peerEntry("d2", 1, DaemonReady), peerEntry("a", 1, DaemonReady)}})
+	if place, count := w.s.AliveRank(); place != 1 || count != 3 {
+		t.Errorf("place %d of %d, want 1 of 3", place, count)
+	}
+	w.post(StoreReached{OK: false})
+	if !w.s.self().StoreDown {
+		t.Error("others are not told that the store is out of reach")
+	}
+}
