Let losing attempts go on at leafs that are not loaded

Cause: each cancelled attempt costs its leaf a new connection, 6 ms of a slot, and hides how long the leaf would have taken.

--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -106,11 +106,7 @@
 // cost estimates the time of one more attempt at a leaf in usual latencies.
 func (s *State) cost(srv *server, typical time.Duration) float64 {
 	srv.decay(s.now)
-	load := float64(len(srv.inflight))
-	if age := s.now.Sub(srv.loadAt); srv.loadAt > 0 && age < loadTrust {
-		load += srv.othersLoad * (1 - float64(age)/float64(loadTrust))
-	}
-	cost := srv.speed * (1 + load/float64(max(1, srv.Slots)))
+	cost := srv.speed * (1 + s.load(srv)/float64(max(1, srv.Slots)))
 	cost += failurePenalty * srv.failures
 	if stall := float64(srv.stallAge(s.now)) / float64(typical); stall > stallGrace*srv.speed {
 		cost += stall
@@ -123,3 +119,13 @@
 	}
 	return cost
 }
+
+// load estimates the number of requests at a leaf: the attempts of this daemon
+// and, while the leaf's report is recent, those of others.
+func (s *State) load(srv *server) float64 {
+	load := float64(len(srv.inflight))
+	if age := s.now.Sub(srv.loadAt); srv.loadAt > 0 && age < loadTrust {
+		load += srv.othersLoad * (1 - float64(age)/float64(loadTrust))
+	}
+	return load
+}
--- a/pkg/core/gateway/gateway_test.go
+++ b/pkg/core/gateway/gateway_test.go
@@ -383,3 +383,33 @@
 		}
 	}
 }
+
+// Guards against work that goes on at a loaded leaf though its answer is not
+// needed, and against connections that are closed where that gains nothing.
+func TestLosingAttempts(t *testing.T) {
+	for _, loaded := range []bool{false, true} {
+		w := newWorld(t)
+		w.configure(1, nil, plain("/r/", "x"))
+		w.leafs(2, "x")
+		q := w.request("/r/", time.Second)
+		if loaded {
+			for range 12 {
+				w.request("/r/", time.Second)
+			}
+		}
+		w.pass(80 * time.Millisecond)
+		attempts := w.calls(q)
+		if len(attempts) != 2 {
+			t.Fatalf("%d attempts", len(attempts))
+		}
+		w.other = nil
+		w.done(attempts[1], OutcomeSucceeded)
+		if got := w.cancelled(attempts[0].Call); got != loaded {
+			t.Errorf("loaded %v: the losing attempt is cancelled at once: %v", loaded, got)
+		}
+		w.pass(300 * time.Millisecond)
+		if !w.cancelled(attempts[0].Call) {
+			t.Errorf("loaded %v: the losing attempt goes on", loaded)
+		}
+	}
+}
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -92,6 +92,9 @@
 	wake      model.Time
 	heapIndex int
 
+	// running is the number of open attempts.
+	running int
+
 	sent, hedges, retries, denied int
 }
 
@@ -197,6 +200,7 @@
 	p.arrivals++
 	srv.inflight = append(srv.inflight, c)
 	q.sent++
+	q.running++
 	if hedge {
 		q.hedges++
 	}
@@ -214,10 +218,14 @@
 	delete(s.calls, e.Call)
 	c.ended = true
 	q := c.query
+	q.running--
 	c.server.removeInflight(c)
 	s.learn(c.server, c, e, s.route(q.route))
 	s.scanQueue(c.server.svc)
 	if q.closed {
+		if q.running == 0 {
+			s.dropWake(q)
+		}
 		return
 	}
 	p := &q.parts[c.part]
@@ -241,16 +249,31 @@
 	}
 }
 
-// partIn takes the answer of a part and cancels its other attempts.
+// partIn takes the answer of a part.
 func (s *State) partIn(q *query, c *call) {
 	p := &q.parts[c.part]
 	p.state, p.result = partIn, c
 	q.in++
 	q.open--
-	s.cancelCalls(p)
+	s.cancelQueued(p)
 	s.conclude(q)
 }
 
+// cancelQueued ends the attempts of a part that are not needed any more at
+// leafs with more work than slots, where they likely wait still. Elsewhere they
+// go on for a while: a new connection takes a leaf about as long as most
+// requests, and their end tells how fast the leaf is.
+func (s *State) cancelQueued(p *part) {
+	for _, c := range p.calls {
+		if !c.ended && s.load(c.server) > float64(c.server.Slots) {
+			s.emit(CancelCall{Call: c.id})
+		}
+	}
+}
+
+// loserGrace is how long attempts go on that are not needed any more.
+const loserGrace = 250 * time.Millisecond
+
 func (s *State) cancelCalls(p *part) {
 	for _, c := range p.calls {
 		if !c.ended {
@@ -369,21 +392,35 @@
 	return base + time.Duration(s.rand.Float64()*float64(base))
 }
 
-// close ends a query; its attempts that are still open are cancelled.
+// close ends a query. Its attempts that are still open are cancelled after
+// loserGrace.
 func (s *State) close(q *query, kind LogKind, outcome string) {
 	q.closed = true
 	delete(s.queries, q.id)
+	s.emit(Log{Kind: kind, Query: s.report(q, outcome)})
+	if q.running == 0 {
+		s.dropWake(q)
+		return
+	}
+	for i := range q.parts {
+		s.cancelQueued(&q.parts[i])
+	}
+	s.setWake(q, s.now.Add(loserGrace))
+}
+
+// cancel ends all attempts of a query that are still open.
+func (s *State) cancel(q *query) {
 	s.dropWake(q)
 	for i := range q.parts {
 		s.cancelCalls(&q.parts[i])
 	}
-	s.emit(Log{Kind: kind, Query: s.report(q, outcome)})
 }
 
 // callerGone drops a query whose caller has left.
 func (s *State) callerGone(id QueryID) {
 	if q, ok := s.queries[id]; ok {
 		s.close(q, LogQueryAbandoned, "caller_gone")
+		s.cancel(q)
 	}
 }
 
@@ -400,6 +437,10 @@
 func (s *State) expireQueries() {
 	for len(s.timers) > 0 && s.timers[0].wake <= s.now {
 		q := s.timers[0]
+		if q.closed {
+			s.cancel(q)
+			continue
+		}
 		s.expire(q)
 		if !q.closed {
 			s.schedule(q)
--- a/pkg/core/gateway/world_test.go
+++ b/pkg/core/gateway/world_test.go
@@ -163,3 +163,12 @@
 }
 
 func has(list []string, x string) bool { return slices.Contains(list, x) }
+
+func (w *world) cancelled(id CallID) bool {
+	for _, e := range w.other {
+		if c, ok := e.(CancelCall); ok && c.Call == id {
+			return true
+		}
+	}
+	return false
+}
