--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -23,8 +23,8 @@
 	// failurePenalty is the cost, in usual latencies, of a leaf that fails always.
 	failurePenalty = 8.0
 	// domainPenalty is the cost of a leaf in another failure domain, in usual
-	// latencies: enough to break ties.
-	domainPenalty = 0.08
+	// latencies: bytes between domains are paid for, and the way is longer.
+	domainPenalty = 0.3
 	// stallGrace is the number of usual latencies without an answer after which
 	// a leaf counts as stalled.
 	stallGrace = 2.0
--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -70,3 +70,28 @@
 	}
 	return srv, v
 }
+
+// probe sends a part that was just sent to a good leaf also to a slow one, to
+// learn whether that is well again. No caller waits for it, and it spends the
+// retry budget only if enough is left for hedges.
+func (s *State) probe(q *query, i int) {
+	p := &q.parts[i]
+	if !q.route.Idempotent || q.route.MaxAttempts < 2 || p.svc.tokens < probeReserve {
+		return
+	}
+	for _, srv := range p.svc.servers {
+		if srv.speed < suspectSpeed || srv.probeAt > s.now || !s.usable(srv) || !s.allowed(srv, q.route) || !s.open(srv) || p.tried(srv, false) {
+			continue
+		}
+		if len(srv.inflight) > 0 || !s.takeColdToken(srv) {
+			continue
+		}
+		srv.probeAt = s.now.Add(probeInterval)
+		p.svc.withdraw()
+		s.send(q, i, srv, true)
+		return
+	}
+}
+
+// probeReserve is the number of tokens that probes leave to hedges.
+const probeReserve = 2.0
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -270,7 +270,12 @@
 	return to
 }
 
+// gossipEntries are this daemon's entry and, if its messages do not reach all
+// daemons at once, those that were heard last.
 func (s *State) gossipEntries() []DaemonEntry {
+	if len(s.daemons) <= gossipFanout {
+		return []DaemonEntry{s.self()}
+	}
 	var known []*daemon
 	for _, d := range s.daemons {
 		if s.alive(d) {
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -180,6 +180,7 @@
 	switch v {
 	case chooseOK:
 		s.send(q, i, srv, false)
+		s.probe(q, i)
 	case chooseBusy:
 		p.state = partQueued
 		p.svc.queue = append(p.svc.queue, waiting{q, i})
--- a/pkg/core/gateway/scatter.go
+++ b/pkg/core/gateway/scatter.go
@@ -6,7 +6,7 @@
 	// answerShare is the part of the latency target that is left for the way to
 	// the caller and back, within the bounds below.
 	answerShare     = 0.08
-	minAnswerMargin = 14 * time.Millisecond
+	minAnswerMargin = 20 * time.Millisecond
 	maxAnswerMargin = 25 * time.Millisecond
 )
 
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -22,7 +22,14 @@
 	speedWeight = 0.25
 	// speedHalfLife is the time after which half of a leaf's deviation from the
 	// usual latency is forgotten while it gets no requests.
-	speedHalfLife = 2 * time.Second
+	speedHalfLife = 6 * time.Second
+	// speedClip bounds a sample, as a multiple of what is known: a leaf that pauses
+	// for a moment is not a slow leaf.
+	speedClip = 3.0
+	// suspectSpeed is the relative latency from which a leaf is probed.
+	suspectSpeed = 2.0
+	// probeInterval is the time between two probes of a suspect leaf.
+	probeInterval = 800 * time.Millisecond
 	// failureWeight is the weight of a new sample in a leaf's failure rate.
 	failureWeight = 0.25
 	// failureHalfLife is the time after which half of a leaf's failure rate is
@@ -53,6 +60,10 @@
 	// speed is the latency relative to the usual one of the route.
 	speed   float64
 	speedAt model.Time
+	// slowUntil is when the last slow attempt ended: those that ran beside it say
+	// nothing new.
+	slowUntil model.Time
+	probeAt   model.Time
 	// failures is the recent share of failed attempts.
 	failures   float64
 	failuresAt model.Time
@@ -235,8 +246,7 @@
 		srv.lastAnswer = s.now
 		srv.connectFailures = 0
 		rs.observe(elapsed)
-		ratio := float64(elapsed) / float64(rs.typical(c.query.route))
-		srv.speed += (min(ratio, maxSpeed) - srv.speed) * speedWeight
+		s.learnSpeed(srv, c, float64(elapsed)/float64(rs.typical(c.query.route)))
 	case OutcomeNotExecuted:
 		srv.lastAnswer = s.now
 		failed = 1
@@ -260,9 +270,8 @@
 		return
 	case OutcomeCancelled:
 		// A cancelled attempt says only that the leaf took at least so long.
-		ratio := float64(elapsed) / float64(rs.typical(c.query.route))
-		if ratio > srv.speed {
-			srv.speed += (min(ratio, maxSpeed) - srv.speed) * speedWeight
+		if ratio := float64(elapsed) / float64(rs.typical(c.query.route)); ratio > srv.speed {
+			s.learnSpeed(srv, c, ratio)
 		}
 		return
 	}
@@ -276,6 +285,20 @@
 	}
 }
 
+// learnSpeed takes a sample of a leaf's relative latency.
+func (s *State) learnSpeed(srv *server, c *call, ratio float64) {
+	if ratio > srv.speed*speedClip {
+		ratio = srv.speed * speedClip
+	}
+	if ratio > suspectSpeed {
+		if c.sentAt < srv.slowUntil {
+			return
+		}
+		srv.slowUntil = s.now
+	}
+	srv.speed += (min(ratio, maxSpeed) - srv.speed) * speedWeight
+}
+
 // maxSpeed bounds a leaf's relative latency, so that one pause is forgotten
 // after a few answers.
 const maxSpeed = 12.0
