--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -45,6 +45,8 @@
 	keptAnswers = 3
 	// stopMargin is left of the stop time for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// stopPoll is the interval at which a stopping daemon looks for open requests.
+	stopPoll = 20 * time.Millisecond
 	// lingerTime is how long a stopping daemon without open requests waits for
 	// answers on their way.
 	lingerTime = 150 * time.Millisecond
@@ -62,6 +64,7 @@
 	log      *logwriter.Writer
 	self     gateway.DaemonEntry
 	callers  *http.Server
+	conns    *edge.CallerConns
 }
 
 // Run runs a daemon until it has stopped gracefully, which SIGTERM, SIGINT or
@@ -101,19 +104,22 @@
 		Seeds: d.seedAddresses(),
 	})
 	d.pool = leafconn.NewPool(nil)
-	idle := edge.NewIdleLimit()
+	d.conns = edge.NewCallerConns()
 	lines := &logs{out: d.log}
 	link := &lateLinks{d: d}
 	d.runtime = edge.New(edge.Config{
 		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Peers: link, Store: link,
-		OnLimits: func(l gateway.Limits) { idle.Set(l.IdleTimeout) },
+		OnLimits: func(l gateway.Limits) { d.conns.SetIdleLimit(l.IdleTimeout) },
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress), Decoder: p.Decoder, Post: d.runtime.Post,
 		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Rank: d.runtime.AliveRank,
 	})
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
-	d.callers = &http.Server{Handler: d.runtime, ReadHeaderTimeout: headerTimeout, ConnState: idle.ConnState}
+	d.callers = &http.Server{
+		Handler: d.conns.Handler(d.runtime), ReadHeaderTimeout: headerTimeout,
+		ConnState: d.conns.ConnState, ConnContext: d.conns.ConnContext,
+	}
 	return d
 }
 
@@ -204,20 +210,10 @@
 	addServer(g, "view", &http.Server{Handler: d.peers.Handler(), ReadHeaderTimeout: headerTimeout}, l.view)
 }
 
-// addServer adds a listener. A server that is shut down does not end the group,
-// since its open requests are still to be answered.
 func addServer(g *run.Group, name string, s *http.Server, ln net.Listener) {
-	closed := make(chan struct{})
 	g.Add(func() error {
-		err := s.Serve(ln)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-closed
-		}
-		return fmt.Errorf("edged: %s listener: %w", name, err)
-	}, func(error) {
-		close(closed)
-		s.Close()
-	})
+		return fmt.Errorf("edged: %s listener: %w", name, s.Serve(ln))
+	}, func(error) { s.Close() })
 }
 
 func (d *daemon) addPeers(g *run.Group, l *listeners) {
@@ -274,12 +270,19 @@
 	if !pause(serve, done) {
 		return
 	}
-	d.callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	// Requests that are open at the end are cut off; OpenQueries tells how many.
-	_ = d.callers.Shutdown(ctx)
-	pause(lingerTime, done)
+	// Connections are closed one by one, not by http.Server.Shutdown: that closes
+	// connections as idle on which a request has arrived and was not read yet.
+	quiet := time.Now()
+	for time.Now().Before(end) && time.Since(quiet) < lingerTime {
+		d.conns.Drain()
+		if d.conns.Open() > 0 || d.runtime.OpenQueries() > 0 {
+			quiet = time.Now()
+		}
+		if !pause(stopPoll, done) {
+			return
+		}
+	}
+	// Requests that are open at the end are cut off; the last log line counts them.
 }
 
 func pause(d time.Duration, done <-chan struct{}) bool {
