--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +46,9 @@
 	keptAnswers = 3
 	// stopMargin is left of the stop time for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// lastRequests is the part of the stop time that is left for open requests when
+	// no new ones are taken any more.
+	lastRequests = time.Second
 	// stopPoll is the interval at which a stopping daemon looks for open requests.
 	stopPoll = 20 * time.Millisecond
 	// lingerTime is how long a stopping daemon without open requests waits for
@@ -65,6 +69,9 @@
 	self     gateway.DaemonEntry
 	callers  *http.Server
 	conns    *edge.CallerConns
+	// callerListener is closed by a stopping daemon, after listenerClosed is set.
+	callerListener net.Listener
+	listenerClosed atomic.Bool
 }
 
 // Run runs a daemon until it has stopped gracefully, which SIGTERM, SIGINT or
@@ -203,7 +210,7 @@
 }
 
 func (d *daemon) addServers(g *run.Group, p Platform, l *listeners) {
-	addServer(g, "caller", d.callers, l.caller)
+	d.addCallers(g, l.caller)
 	addServer(g, "ready", &http.Server{Handler: p.ReadyHandler(d.runtime), ReadHeaderTimeout: headerTimeout}, l.ready)
 	directory := p.DirectoryHandler(d.runtime, d.settings.AddressTTL)
 	addServer(g, "directory", &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, l.directory)
@@ -216,6 +223,23 @@
 	}, func(error) { s.Close() })
 }
 
+// addCallers adds the callers' listener. A stopping daemon closes it before the
+// last requests are answered, which does not end the group.
+func (d *daemon) addCallers(g *run.Group, ln net.Listener) {
+	d.callerListener = ln
+	interrupted := make(chan struct{})
+	g.Add(func() error {
+		err := d.callers.Serve(ln)
+		if d.listenerClosed.Load() {
+			<-interrupted
+		}
+		return fmt.Errorf("edged: caller listener: %w", err)
+	}, func(error) {
+		close(interrupted)
+		d.callers.Close()
+	})
+}
+
 func (d *daemon) addPeers(g *run.Group, l *listeners) {
 	g.Add(d.peers.Receive, func(error) { l.peer.Close() })
 }
@@ -272,17 +296,31 @@
 	}
 	// Connections are closed one by one, not by http.Server.Shutdown: that closes
 	// connections as idle on which a request has arrived and was not read yet.
+	// The listener stays open until nobody comes any more, and is closed before
+	// the last look, so that no request is taken and then cut off.
+	if !d.awaitQuiet(end.Add(-lastRequests), lingerTime, done) {
+		return
+	}
+	d.listenerClosed.Store(true)
+	d.callerListener.Close()
+	// Requests that are open at the end are cut off; the last log line counts them.
+	d.awaitQuiet(end, 3*stopPoll, done)
+}
+
+// awaitQuiet waits until no connection and no request was open for a while, at
+// the latest until end. It reports false if done came first.
+func (d *daemon) awaitQuiet(end time.Time, while time.Duration, done <-chan struct{}) bool {
 	quiet := time.Now()
-	for time.Now().Before(end) && time.Since(quiet) < lingerTime {
+	for time.Now().Before(end) && time.Since(quiet) < while {
 		d.conns.Drain()
 		if d.conns.Open() > 0 || d.runtime.OpenQueries() > 0 {
 			quiet = time.Now()
 		}
 		if !pause(stopPoll, done) {
-			return
+			return false
 		}
 	}
-	// Requests that are open at the end are cut off; the last log line counts them.
+	return true
 }
 
 func pause(d time.Duration, done <-chan struct{}) bool {
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +88,34 @@
 		})
 	}
 }
+
+// Guards against requests of callers with an old address that are taken in the
+// last moments of a stopping daemon and cut off by its end.
+func TestStopWithLateCallers(t *testing.T) {
+	s := newSite(t)
+	l := s.leaf("i-1", "one", leaf.Behavior{Work: 60 * time.Millisecond, Body: []byte("body")})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	d.client.Transport.(*http.Transport).DisableKeepAlives = true
+	var answered atomic.Int64
+	var callers sync.WaitGroup
+	d.cancel()
+	for ended := false; !ended; {
+		time.Sleep(5 * time.Millisecond)
+		callers.Go(func() {
+			if a := d.call("GET", "/one/x", "q", time.Second, ""); a.status == http.StatusOK {
+				answered.Add(1)
+			}
+		})
+		select {
+		case <-d.done:
+			ended = true
+		default:
+		}
+	}
+	callers.Wait()
+	if ran := len(l.Ran()); ran != int(answered.Load()) {
+		t.Errorf("%d requests were passed on, %d answered", ran, answered.Load())
+	}
+}
