Send callers to as many daemons as the load needs; compact gossip

Ruled out: processor time (0.01 cores a daemon). Now callers are sent to an active set (8 daemons or what the load needs, failure domains with leafs first, larger VMs first), which also has most of the retry budget, connections and cold shares; large fleets gossip brief entries to three daemons at a time.

--- /dev/null
+++ b/pkg/core/gateway/active.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minActive is the least number of daemons that callers are sent to, if there
+	// are as many: with fewer, the end of one would hit too many callers.
+	minActive = 8
+	// callsPerCore is the number of attempts a second that a core bears at the
+	// share of its time that is left to them; a call takes 0.13 ms in all.
+	callsPerCore = 2500.0
+	// activeShare is the part of what all daemons together may do that the active
+	// ones use; the others serve callers with old addresses.
+	activeShare = 0.85
+	// measureInterval is the time over which the number of calls is measured.
+	measureInterval = 2 * time.Second
+)
+
+// active returns the daemons that callers are sent to: of those that take
+// requests in the regions (nil for all) as many as the load needs, at least
+// minActive. Fewer daemons keep their connections to leafs in use and know
+// more of each leaf; each leaf accepts connections of a few daemons only.
+// Failure domains take turns, those with leafs first, the larger VMs first.
+func (s *State) active(regions []string) []DaemonEntry {
+	byDomain := map[string][]DaemonEntry{}
+	calls := 0
+	for _, e := range s.readyDaemons() {
+		if regions == nil || slices.Contains(regions, s.opt.RegionOf[e.FailureDomain]) {
+			byDomain[e.FailureDomain] = append(byDomain[e.FailureDomain], e)
+			calls += e.CallsPerSecond
+		}
+	}
+	for _, list := range byDomain {
+		slices.SortFunc(list, func(a, b DaemonEntry) int {
+			return cmp.Or(cmp.Compare(sizeClass(b), sizeClass(a)), cmp.Compare(nameHash(a.Name), nameHash(b.Name)), strings.Compare(a.Name, b.Name))
+		})
+	}
+	var out []DaemonEntry
+	cores := 0.0
+	for turn := 0; ; turn++ {
+		before := len(out)
+		for _, domain := range s.domainOrder(byDomain) {
+			if len(out) >= minActive && cores*callsPerCore >= float64(calls) {
+				return out
+			}
+			if list := byDomain[domain]; turn < len(list) {
+				out = append(out, list[turn])
+				cores += list[turn].Cores
+			}
+		}
+		if len(out) == before {
+			return out
+		}
+	}
+}
+
+// readyDaemons returns the daemons that take requests, this one included.
+func (s *State) readyDaemons() []DaemonEntry {
+	var out []DaemonEntry
+	if self := s.self(); self.State == DaemonReady {
+		out = append(out, self)
+	}
+	for _, name := range s.daemonNames() {
+		if d := s.daemons[name]; s.alive(d) && d.State == DaemonReady {
+			out = append(out, d.DaemonEntry)
+		}
+	}
+	return out
+}
+
+// domainOrder returns the failure domains in the order of their turns: those
+// with more leafs first, since calls inside a domain are shorter and free.
+func (s *State) domainOrder(byDomain map[string][]DaemonEntry) []string {
+	leafs := map[string]int{}
+	for _, srv := range s.servers {
+		leafs[srv.FailureDomain]++
+	}
+	order := make([]string, 0, len(byDomain))
+	for domain := range byDomain {
+		order = append(order, domain)
+	}
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(cmp.Compare(leafs[b], leafs[a]), strings.Compare(a, b))
+	})
+	return order
+}
+
+// sizeClass groups VMs whose difference in size does not matter: the powers of
+// two of a tenth of a core, up to 0.4 cores.
+func sizeClass(e DaemonEntry) int {
+	switch {
+	case e.Cores >= 0.4:
+		return 2
+	case e.Cores >= 0.2:
+		return 1
+	}
+	return 0
+}
+
+func nameHash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// chooseActive finds this daemon's share of what all daemons together may do:
+// retries, connections to a leaf, requests to a cold leaf.
+func (s *State) chooseActive() { s.members.share = s.shareOf(s.opt.Self.Name) }
+
+func (s *State) shareOf(name string) float64 {
+	known := len(s.daemons) + 1
+	active := s.active(nil)
+	// A daemon that hears only a few others is cut off and must not take their
+	// shares too.
+	count := max(len(active), min(minActive, known))
+	if known <= count {
+		return 1 / float64(known)
+	}
+	for _, e := range active {
+		if e.Name == name {
+			return activeShare / float64(count)
+		}
+	}
+	return (1 - activeShare) / float64(known-count)
+}
+
+// share is this daemon's part of what all daemons together may do.
+func (s *State) share() float64 {
+	if s.members.share == 0 {
+		s.chooseActive()
+	}
+	return s.members.share
+}
+
+// measureCalls measures how many attempts this daemon sends.
+func (s *State) measureCalls() {
+	m := &s.members
+	elapsed := s.now.Sub(m.measuredAt)
+	if elapsed < measureInterval {
+		return
+	}
+	m.callsPerSecond = int(float64(s.lastCall-m.measuredCall) / elapsed.Seconds())
+	m.measuredAt, m.measuredCall = s.now, s.lastCall
+}
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -14,10 +14,19 @@
 	gossipInterval = 400 * time.Millisecond
 	// gossipPause bounds the messages that changes cause.
 	gossipPause = 50 * time.Millisecond
-	// gossipFanout is the number of daemons that get a message at a time.
-	gossipFanout = 10
-	// gossipEntries is the number of daemons that a message tells about.
-	gossipEntries = 16
+	// gossipAll is the number of other daemons up to which each of them gets every
+	// message.
+	gossipAll = 12
+	// gossipNear and gossipFar are the numbers of daemons in the own and in other
+	// failure domains that get a message in larger fleets.
+	gossipNear = 2
+	gossipFar  = 1
+	// gossipEntries is the number of other daemons that a message tells about in
+	// larger fleets.
+	gossipEntries = 24
+	// relaySilence is added to the silence that is borne in larger fleets, where
+	// news come over others.
+	relaySilence = 1500 * time.Millisecond
 	// fetchPause is the least time between two fetches of another daemon's view.
 	fetchPause = 500 * time.Millisecond
 	// configPatience is how long a daemon waits for its own watch to bring a
@@ -60,6 +69,16 @@
 	ViewRevision uint64 `json:"viewRevision"`
 	// StoreDown means that the daemon's calls to the store fail.
 	StoreDown bool `json:"storeDown"`
+	// Cores is the processor time that the daemon may use, in cores.
+	Cores float64 `json:"cores"`
+	// CallsPerSecond is the recent number of attempts that the daemon sends.
+	CallsPerSecond int `json:"callsPerSecond"`
+}
+
+// Brief returns the entry without what the store tells of the daemon.
+func (e DaemonEntry) Brief() DaemonEntry {
+	e.CallerAddress, e.PeerAddress, e.FailureDomain, e.Cores = "", "", "", 0
+	return e
 }
 
 // daemon is another daemon.
@@ -86,6 +105,12 @@
 	behindSince model.Time
 	behindAt    uint64
 	refreshed   uint64
+	// callsPerSecond is measured since measuredAt, when lastCall was measuredCall.
+	callsPerSecond int
+	measuredAt     model.Time
+	measuredCall   CallID
+	// share is this daemon's part of what all daemons together may do.
+	share float64
 }
 
 // SetViewRevision notes the store's revision of the latest change of leafs and
@@ -104,6 +129,7 @@
 	e.ConfigVersion = s.Version()
 	e.ViewRevision = s.members.viewRevision
 	e.StoreDown = s.storeDown
+	e.CallsPerSecond = s.members.callsPerSecond
 	switch {
 	case s.stopping:
 		e.State = DaemonLeaving
@@ -126,6 +152,7 @@
 			delete(s.daemons, name)
 		}
 	}
+	s.chooseActive()
 }
 
 func (s *State) gossipReceived(e GossipReceived) {
@@ -141,11 +168,11 @@
 		s.outlive(e)
 		return nil
 	}
-	if e.Name == "" || e.PeerAddress == "" {
-		return nil
-	}
 	d, ok := s.daemons[e.Name]
 	if !ok {
+		if e.Name == "" || e.PeerAddress == "" {
+			return nil
+		}
 		d = &daemon{since: s.now, DaemonEntry: e}
 		s.daemons[e.Name] = d
 		s.emit(Log{Kind: LogDaemonSeen, Subject: e.Name, Detail: e.FailureDomain})
@@ -159,7 +186,7 @@
 		if alive {
 			// It may have started again with an earlier time of day: it must outlive
 			// the incarnation that is known here.
-			s.emit(Gossip{To: []string{e.PeerAddress}, Daemons: []DaemonEntry{s.self(), d.DaemonEntry}})
+			s.emit(Gossip{To: []string{d.PeerAddress}, Daemons: []DaemonEntry{s.self(), d.DaemonEntry}})
 		}
 		return d
 	}
@@ -170,6 +197,9 @@
 	if d.ConfigVersion < e.ConfigVersion && s.members.newerSince == 0 && e.ConfigVersion > s.Version() {
 		s.members.newerSince = s.now
 	}
+	if e.PeerAddress == "" {
+		e.CallerAddress, e.PeerAddress, e.FailureDomain, e.Cores = d.CallerAddress, d.PeerAddress, d.FailureDomain, d.Cores
+	}
 	d.DaemonEntry = e
 	if alive {
 		d.heardAt = s.now
@@ -201,9 +231,16 @@
 }
 
 func (s *State) alive(d *daemon) bool {
-	return d.heardAt > 0 && s.now.Sub(d.heardAt) < s.opt.Silence
+	silence := s.opt.Silence
+	if s.largeFleet() {
+		silence += relaySilence
+	}
+	return d.heardAt > 0 && s.now.Sub(d.heardAt) < silence
 }
 
+// largeFleet reports whether messages go to a few daemons at a time.
+func (s *State) largeFleet() bool { return len(s.daemons) > gossipAll }
+
 // gossip tells others of this daemon and of those heard last, and looks after
 // what is due with it.
 func (s *State) gossip() {
@@ -221,7 +258,9 @@
 	s.members.lastGossip = s.now
 	s.members.gossipAt = s.now.Add(gossipInterval)
 	s.members.counter++
+	s.measureCalls()
 	s.noteSilent()
+	s.chooseActive()
 	s.fetchView()
 	s.refreshView()
 	if to := s.gossipTargets(); len(to) > 0 {
@@ -255,14 +294,24 @@
 	return true
 }
 
+// gossipTargets are all other daemons or, in larger fleets, a few at random,
+// most of them near.
 func (s *State) gossipTargets() []string {
 	var to []string
-	for _, name := range s.daemonNames() {
-		to = append(to, s.daemons[name].PeerAddress)
-	}
-	if len(to) > gossipFanout {
-		s.rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-		to = to[:gossipFanout]
+	if !s.largeFleet() {
+		for _, name := range s.daemonNames() {
+			to = append(to, s.daemons[name].PeerAddress)
+		}
+	} else {
+		var near, far []string
+		for _, name := range s.daemonNames() {
+			if d := s.daemons[name]; d.FailureDomain == s.opt.Self.FailureDomain {
+				near = append(near, d.PeerAddress)
+			} else {
+				far = append(far, d.PeerAddress)
+			}
+		}
+		to = append(s.sample(near, gossipNear), s.sample(far, gossipFar)...)
 	}
 	if !s.serversKnown {
 		to = append(to, s.opt.Seeds...)
@@ -270,10 +319,16 @@
 	return to
 }
 
+// sample returns up to n of the values at random.
+func (s *State) sample(values []string, n int) []string {
+	s.rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
+	return values[:min(n, len(values))]
+}
+
 // gossipEntries are this daemon's entry and, if its messages do not reach all
 // daemons at once, those that were heard last.
 func (s *State) gossipEntries() []DaemonEntry {
-	if len(s.daemons) <= gossipFanout {
+	if !s.largeFleet() {
 		return []DaemonEntry{s.self()}
 	}
 	var known []*daemon
@@ -290,7 +345,7 @@
 	})
 	out := []DaemonEntry{s.self()}
 	for _, d := range known[:min(len(known), gossipEntries)] {
-		out = append(out, d.DaemonEntry)
+		out = append(out, d.Brief())
 	}
 	return out
 }
@@ -356,27 +411,15 @@
 const maxAddresses = 64
 
 // Directory returns the addresses that callers from a region may use for a
-// host: those of living daemons that take requests, in the home regions of the
-// host's routes or the caller's own. It is empty if there are none.
+// host: those of the active daemons, in the home regions of the host's routes
+// or the caller's own. It is empty if there are none.
 func (s *State) Directory(host, region string) []string {
-	regions := s.directoryRegions(host, region)
-	var out []string
-	add := func(e DaemonEntry) {
-		if e.State == DaemonReady && (regions == nil || slices.Contains(regions, s.opt.RegionOf[e.FailureDomain])) {
-			out = append(out, e.CallerAddress)
-		}
+	active := s.active(s.directoryRegions(host, region))
+	out := make([]string, 0, len(active))
+	for _, e := range active {
+		out = append(out, e.CallerAddress)
 	}
-	add(s.self())
-	for _, name := range s.daemonNames() {
-		if d := s.daemons[name]; s.alive(d) {
-			add(d.DaemonEntry)
-		}
-	}
-	if len(out) > maxAddresses {
-		s.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-		out = out[:maxAddresses]
-	}
-	return out
+	return out[:min(len(out), maxAddresses)]
 }
 
 func (s *State) directoryRegions(host, region string) []string {
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -156,3 +156,84 @@
 		t.Error("others are not told that the store is out of reach")
 	}
 }
+
+// fleet makes a large fleet: count daemons over three failure domains, leafs in
+// two of them.
+func fleet(t *testing.T, count int) *world {
+	t.Helper()
+	w := newWorld(t)
+	w.leafs(2, "x")
+	w.configure(1, map[string]ServiceConfig{"x": {MaxConnections: 67}}, plain("/r/", "x"))
+	w.s.opt.Self.Cores = 0.8
+	w.heard(count, 1)
+	w.pass(time.Second)
+	w.heard(count, 2)
+	w.pass(100 * time.Millisecond)
+	return w
+}
+
+// heard lets the world hear all other daemons of a fleet.
+func (w *world) heard(count int, counter uint64) {
+	var entries []DaemonEntry
+	for i, name := range names("f", count-1) {
+		e := peerEntry(name, counter, DaemonReady)
+		e.FailureDomain = []string{"a", "b", "c"}[i%3]
+		e.Cores = []float64{0.192, 0.4, 0.8}[i%5%3]
+		entries = append(entries, e)
+	}
+	w.post(GossipReceived{Daemons: entries})
+}
+
+// Guards against a large fleet in which each leaf has too many connections, or
+// callers are sent to small VMs or to a single failure domain.
+func TestActiveDaemons(t *testing.T) {
+	for _, count := range []int{6, 30, 90, 560} {
+		w := fleet(t, count)
+		got := w.s.Directory("h", "")
+		if want := min(count, minActive); len(got) != want {
+			t.Errorf("%d daemons: %d are named, want %d", count, len(got), want)
+		}
+		domains := map[string]int{}
+		for _, e := range w.s.active(nil) {
+			domains[e.FailureDomain]++
+			if count > 30 && e.Cores < 0.4 {
+				t.Errorf("%d daemons: a VM of %v cores is active", count, e.Cores)
+			}
+		}
+		if count >= 30 && (len(domains) != 3 || domains["a"] < domains["c"]) {
+			t.Errorf("%d daemons: active by failure domain %v", count, domains)
+		}
+		all := 0.0
+		for _, e := range w.s.readyDaemons() {
+			all += w.s.shareOf(e.Name)
+		}
+		if all > 1.001 || all < 0.999 {
+			t.Errorf("%d daemons: their shares sum up to %v", count, all)
+		}
+	}
+}
+
+// Guards against a set of active daemons that does not grow with the load.
+func TestActiveDaemonsFollowLoad(t *testing.T) {
+	w := fleet(t, 90)
+	for _, d := range w.s.daemons {
+		d.CallsPerSecond = 400
+	}
+	got := w.s.active(nil)
+	cores := 0.0
+	for _, e := range got {
+		cores += e.Cores
+	}
+	if cores*callsPerCore < 400*89 || len(got) == 90 {
+		t.Errorf("%d daemons with %v cores for %d calls a second", len(got), cores, 400*89)
+	}
+}
+
+// Guards against a daemon that hears nobody and takes the shares of all.
+func TestShareOfDaemonThatIsCutOff(t *testing.T) {
+	w := fleet(t, 90)
+	w.pass(10 * time.Second)
+	if got := w.s.share(); got > activeShare/minActive {
+		t.Errorf("share %v", got)
+	}
+}
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -65,7 +65,7 @@
 
 // tokenLimit is this daemon's share of the slack.
 func (s *State) tokenLimit() float64 {
-	return max(1, s.opt.RetrySlack*slackShare/float64(s.daemonCount()))
+	return max(1, s.opt.RetrySlack*slackShare*s.share())
 }
 
 // deposit adds the tokens of a first attempt.
@@ -88,7 +88,7 @@
 	if limit <= 0 {
 		limit = defaultConnections
 	}
-	return max(1, int(float64(limit)*(1-connectionReserve))/s.daemonCount())
+	return max(1, int(float64(limit)*(1-connectionReserve)*s.share()))
 }
 
 // takeColdToken reports whether a leaf may get a request now: any number if it
@@ -108,7 +108,7 @@
 	if srv.coldUntil <= s.now || rate <= 0 {
 		return true
 	}
-	gained := s.now.Sub(srv.coldAt).Seconds() * rate / float64(s.daemonCount())
+	gained := s.now.Sub(srv.coldAt).Seconds() * rate * s.share()
 	srv.coldTokens = min(srv.coldTokens+gained, 1)
 	srv.coldAt = s.now
 	return srv.coldTokens >= 1
@@ -157,8 +157,6 @@
 	svc.queue = rest
 }
 
-func (s *State) daemonCount() int { return max(1, len(s.daemons)+1) }
-
 // age returns how old the view of the leafs is.
 func (s *State) age() time.Duration {
 	if !s.storeDown {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -42,10 +42,31 @@
 	}
 }
 
+// gossipEntry is a gateway.DaemonEntry with short names, since gossip is most of
+// what daemons send each other.
+type gossipEntry struct {
+	Name           string              `json:"n"`
+	Incarnation    uint64              `json:"i"`
+	Counter        uint64              `json:"c"`
+	CallerAddress  string              `json:"a,omitempty"`
+	PeerAddress    string              `json:"p,omitempty"`
+	FailureDomain  string              `json:"d,omitempty"`
+	State          gateway.DaemonState `json:"s,omitempty"`
+	ConfigVersion  uint64              `json:"v,omitempty"`
+	ViewRevision   uint64              `json:"r,omitempty"`
+	StoreDown      bool                `json:"x,omitempty"`
+	Cores          float64             `json:"k,omitempty"`
+	CallsPerSecond int                 `json:"l,omitempty"`
+}
+
 // Gossip sends entries to daemons. Datagrams may be lost; the next message
 // tells the same.
 func (p *Peers) Gossip(to []string, entries []gateway.DaemonEntry) {
-	data, err := json.Marshal(entries)
+	message := make([]gossipEntry, len(entries))
+	for i, e := range entries {
+		message[i] = gossipEntry(e)
+	}
+	data, err := json.Marshal(message)
 	if err != nil {
 		p.onError("", err)
 		return
@@ -73,11 +94,15 @@
 		if err != nil {
 			continue
 		}
-		var entries []gateway.DaemonEntry
-		if err := json.Unmarshal(buffer[:n], &entries); err != nil {
+		var message []gossipEntry
+		if err := json.Unmarshal(buffer[:n], &message); err != nil {
 			p.onError(from.String(), err)
 			continue
 		}
+		entries := make([]gateway.DaemonEntry, len(message))
+		for i, e := range message {
+			entries[i] = gateway.DaemonEntry(e)
+		}
 		p.post(gateway.GossipReceived{Daemons: entries})
 	}
 }
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -102,6 +102,7 @@
 	d := &daemon{settings: s, log: logwriter.NewSized(logOutput, s.LogLevel, nil, logQueue)}
 	d.self = gateway.DaemonEntry{
 		Name: s.VM, CallerAddress: s.Listen.Caller, PeerAddress: s.peerAddress(s.ip()), FailureDomain: s.FailureDomain,
+		Cores: s.Cores,
 	}
 	self := d.self
 	self.Incarnation = uint64(time.Now().UnixMilli())
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -32,6 +32,8 @@
 	PeerPort uint16
 	// Seeds are IP addresses of VMs whose daemons may know others.
 	Seeds []string
+	// Cores is the processor time that the daemon may use, in cores.
+	Cores float64
 	// StoreAddress is the ip:port of the platform's store.
 	StoreAddress string
 	Retry        RetrySettings
@@ -58,6 +60,7 @@
 const (
 	maxPort         = 65535
 	maxSlack        = 1e6
+	maxCores        = 1024
 	minStop         = time.Second
 	maxStop         = 10 * time.Minute
 	defaultTTL      = time.Second
@@ -92,8 +95,9 @@
 }
 
 func readSettings(root yamldoc.Node) *Settings {
-	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "retry", "stop", "contact_loss", "address_ttl", "log")
+	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "retry", "stop", "contact_loss", "address_ttl", "log")
 	listen := m.Need("listen").Map("caller", "ready", "directory", "metrics")
+	processor := m.Get("processor").Map("share", "cores")
 	retry := m.Get("retry").Map("ratio", "slack")
 	s := &Settings{
 		VM:            m.Need("vm").Name(),
@@ -105,6 +109,7 @@
 		},
 		PeerPort:     uint16(m.Need("peer_port").Int(0, 1, maxPort)),
 		StoreAddress: m.Need("store").Address(),
+		Cores:        processor.Get("share").Float(1, 0, maxCores) * processor.Get("cores").Float(1, 0, maxCores),
 		Retry: RetrySettings{
 			Ratio: retry.Get("ratio").Float(defaultRatio, 0, 1),
 			Slack: retry.Get("slack").Float(defaultSlack, 0, maxSlack),
