Let three daemons watch the store and the others learn from them

Now three daemons (by a hash of their names, of those that reach the store) watch; the others get a cheap, maybe stale list at their start and then changes from daemons whose gossip tells of a newer configuration or view. Views are passed on as changes since a revision.

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -195,6 +195,9 @@
 // FetchView reads configuration and leafs from another daemon.
 type FetchView struct{ From string }
 
+// WatchStore makes this daemon watch the store, or stop doing so.
+type WatchStore struct{ On bool }
+
 // RefreshView asks the store anew for what watches should have brought.
 type RefreshView struct{}
 
@@ -227,6 +230,7 @@
 func (Refuse) effect()        {}
 func (Gossip) effect()        {}
 func (FetchView) effect()     {}
+func (WatchStore) effect()    {}
 func (RefreshView) effect()   {}
 func (ApplyLimits) effect()   {}
 func (CloseIdle) effect()     {}
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -25,6 +25,8 @@
 	RetrySlack float64
 	// Silence is how long a daemon may be silent before it counts as gone.
 	Silence time.Duration
+	// IsSeed means that others know this daemon from their settings.
+	IsSeed bool
 	// Seeds are peer addresses of daemons that may know others.
 	Seeds []string
 	// Seed makes random choices reproducible.
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -27,14 +27,22 @@
 	// relaySilence is added to the silence that is borne in larger fleets, where
 	// news come over others.
 	relaySilence = 1500 * time.Millisecond
-	// fetchPause is the least time between two fetches of another daemon's view.
-	fetchPause = 500 * time.Millisecond
+	// fetchPause is the least time between two fetches of another daemon's view by
+	// a daemon that does not watch the store, slowFetchPause that by others.
+	fetchPause     = 150 * time.Millisecond
+	slowFetchPause = 500 * time.Millisecond
 	// configPatience is how long a daemon waits for its own watch to bring a
 	// version that another daemon has.
 	configPatience = 250 * time.Millisecond
 	// refreshPatience is how long a daemon waits for its own watch to bring a
 	// change of leafs that another daemon knows of.
 	refreshPatience = 700 * time.Millisecond
+	// watchers is the number of daemons that watch the store; the others learn from
+	// them, so that calls to the store do not grow with the fleet.
+	watchers = 3
+	// watcherGrace is how long a daemon that has just started waits for others
+	// before it counts itself as a watcher. Seeds do not wait.
+	watcherGrace = 1200 * time.Millisecond
 	// storePatience is how long the store may be away before the view of another
 	// daemon is used.
 	storePatience = 700 * time.Millisecond
@@ -111,6 +119,8 @@
 	measuredCall   CallID
 	// share is this daemon's part of what all daemons together may do.
 	share float64
+	// watcher means that this daemon watches the store.
+	watcher bool
 }
 
 // SetViewRevision notes the store's revision of the latest change of leafs and
@@ -159,6 +169,9 @@
 	for _, entry := range e.Daemons {
 		s.merge(entry, true)
 	}
+	if !s.members.watcher {
+		s.fetchView()
+	}
 }
 
 // merge takes over an entry that is newer than the known one. Only a grown
@@ -261,6 +274,7 @@
 	s.measureCalls()
 	s.noteSilent()
 	s.chooseActive()
+	s.chooseWatchers()
 	s.fetchView()
 	s.refreshView()
 	if to := s.gossipTargets(); len(to) > 0 {
@@ -361,11 +375,16 @@
 		s.members.newerSince = 0
 		return
 	}
+	m := &s.members
 	newer := best.ConfigVersion > s.Version()
-	patient := newer && s.config != nil && !s.storeDown && s.now.Sub(s.members.newerSince) < configPatience
-	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storePatience && best.ViewRevision > s.members.viewRevision
-	if (newer && !patient) || stale || (!s.serversKnown && best.ViewRevision > 0) {
-		s.members.fetchAfter = s.now.Add(fetchPause)
+	patient := newer && s.config != nil && m.watcher && !s.storeDown && s.now.Sub(m.newerSince) < configPatience
+	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storePatience && best.ViewRevision > m.viewRevision
+	if (newer && !patient) || stale || !m.watcher || (!s.serversKnown && best.ViewRevision > 0) {
+		pause := slowFetchPause
+		if !m.watcher {
+			pause = fetchPause
+		}
+		m.fetchAfter = s.now.Add(pause)
 		s.emit(FetchView{From: best.PeerAddress})
 	}
 }
@@ -381,7 +400,7 @@
 		}
 	}
 	switch {
-	case s.storeDown || newest <= m.viewRevision || newest <= m.refreshed:
+	case !m.watcher || s.storeDown || newest <= m.viewRevision || newest <= m.refreshed:
 		m.behindAt = 0
 	case m.behindAt == 0:
 		m.behindAt, m.behindSince = newest, s.now
@@ -391,6 +410,20 @@
 	}
 }
 
+// betterView reports whether a daemon's view is newer than another's, or as new
+// and nearer.
+func (s *State) betterView(a, b *daemon) bool {
+	near := func(d *daemon) int {
+		if d.FailureDomain == s.opt.Self.FailureDomain {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(a.ConfigVersion, b.ConfigVersion), cmp.Compare(a.ViewRevision, b.ViewRevision), cmp.Compare(near(a), near(b)),
+	) > 0
+}
+
 // bestView returns the living daemon with the newest configuration, then the
 // newest list of leafs; nil if none has anything newer than this daemon.
 func (s *State) bestView() *daemon {
@@ -400,7 +433,7 @@
 		if !s.alive(d) || (d.ConfigVersion <= s.Version() && d.ViewRevision <= s.members.viewRevision) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(d.ConfigVersion, best.ConfigVersion), cmp.Compare(d.ViewRevision, best.ViewRevision)) > 0 {
+		if best == nil || s.betterView(d, best) {
 			best = d
 		}
 	}
@@ -433,18 +466,43 @@
 	return append(slices.Clone(homes), region)
 }
 
-// AliveRank returns this daemon's place by name among those that are heard and
-// reach the store, from 0, and their number.
+// AliveRank returns this daemon's place among those that are heard and reach
+// the store, from 0, and their number. The order has nothing to do with failure
+// domains, so that the first daemons lie in several.
 func (s *State) AliveRank() (place, count int) {
 	count = 1
+	self := s.opt.Self.Name
 	for name, d := range s.daemons {
 		if !s.alive(d) || d.StoreDown {
 			continue
 		}
 		count++
-		if name < s.opt.Self.Name {
+		if a, b := nameHash(name), nameHash(self); a < b || (a == b && name < self) {
 			place++
 		}
 	}
 	return place, count
 }
+
+// chooseWatchers decides whether this daemon watches the store.
+func (s *State) chooseWatchers() {
+	place, _ := s.AliveRank()
+	watcher := place < watchers
+	if s.now < model.Time(watcherGrace) && !s.opt.IsSeed {
+		watcher = false
+	}
+	if !watcher {
+		// Calls that failed before say nothing of the store as it is now.
+		s.storeDown = false
+	}
+	if watcher != s.members.watcher {
+		s.members.watcher = watcher
+		s.emit(WatchStore{On: watcher})
+	}
+}
+
+// Watchers returns the number of daemons that watch the store, of those heard.
+func (s *State) Watchers() int {
+	_, count := s.AliveRank()
+	return min(count, watchers)
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -37,6 +37,7 @@
 	Gossip(to []string, entries []gateway.DaemonEntry)
 	FetchView(from string)
 	RefreshView()
+	WatchStore(on bool)
 }
 
 // StoreActions are the writes that the reducer asks for. They do not wait.
@@ -105,6 +106,8 @@
 		r.peers.Gossip(e.To, e.Daemons)
 	case gateway.FetchView:
 		r.peers.FetchView(e.From)
+	case gateway.WatchStore:
+		r.peers.WatchStore(e.On)
 	case gateway.RefreshView:
 		r.peers.RefreshView()
 	case gateway.ApplyLimits:
@@ -147,10 +150,11 @@
 	r.core.SetViewRevision(revision)
 }
 
-// AliveRank returns this daemon's place among those that are heard, from 0, and
-// their number.
-func (r *Runtime) AliveRank() (place, count int) {
+// AliveRank returns this daemon's place among those that are heard and reach
+// the store, from 0, and the number of those that watch it.
+func (r *Runtime) AliveRank() (place, watchers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.AliveRank()
+	place, _ = r.core.AliveRank()
+	return place, r.core.Watchers()
 }
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -50,9 +50,9 @@
 
 // Store is the platform's store.
 type Store interface {
-	// List returns all objects of a kind and the revision of the list. Errors:
-	// ErrStore.
-	List(ctx context.Context, kind Kind) ([]Object, uint64, error)
+	// List returns all objects of a kind and the revision of the list; it may be
+	// seconds old and is cheap with mayBeStale. Errors: ErrStore.
+	List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error)
 	// Watch waits up to wait for changes after a revision and returns the
 	// revision to go on from. Errors: ErrStore, ErrHistoryGone.
 	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error)
@@ -92,17 +92,6 @@
 	outageMemory = 2500 * time.Millisecond
 )
 
-// Followed is the latest known state of a kind.
-type Followed struct {
-	Revision uint64 `json:"revision"`
-	// Changed is the revision of the latest known change.
-	Changed uint64                     `json:"changed"`
-	Objects map[string]json.RawMessage `json:"objects"`
-}
-
-// View is the latest known state of all kinds, as daemons pass it on.
-type View map[Kind]Followed
-
 // Follower keeps a view of the store and posts its changes.
 type Follower struct {
 	store   Store
@@ -117,8 +106,13 @@
 	rank func() (place, count int)
 
 	mu          sync.Mutex
-	view        View
+	view        map[Kind]Followed
 	lastFailure time.Time
+	// failing means that the last call failed, turn is closed and replaced when a
+	// loop that waits may go on.
+	failing  bool
+	watching bool
+	turn     chan struct{}
 	// waiting are the watches that Refresh cuts short.
 	waiting map[Kind]context.CancelFunc
 	refresh map[Kind]bool
@@ -145,14 +139,16 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		store: c.Store, decoder: c.Decoder, post: c.Post, setView: c.SetView, onBad: c.OnInvalid, rank: c.Rank,
-		view: View{}, waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{}, changed: map[Kind]bool{},
+		view: map[Kind]Followed{}, turn: make(chan struct{}), waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{}, changed: map[Kind]bool{},
 	}
 }
 
-// Follow keeps one kind up to date until ctx ends.
+// Follow keeps one kind up to date until ctx ends: by watches of the store if
+// this daemon is to watch it, otherwise by what other daemons tell.
 func (f *Follower) Follow(ctx context.Context, kind Kind) error {
+	f.firstList(ctx, kind)
 	backoff := firstBackoff
-	for ctx.Err() == nil {
+	for f.awaitTurn(ctx, kind) {
 		err := f.round(ctx, kind)
 		switch {
 		case ctx.Err() != nil:
@@ -172,6 +168,57 @@
 	return ctx.Err()
 }
 
+// firstList lists a kind when the daemon starts. It may be seconds old: watches
+// or other daemons bring the rest, and daemons that have just started are many
+// when a fleet starts.
+func (f *Follower) firstList(ctx context.Context, kind Kind) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, revision, err := f.store.List(ctx, kind, true)
+	if err != nil {
+		f.note(false)
+		return
+	}
+	f.note(true)
+	f.replace(kind, newFollowed(objects, revision), "store", f.afterOutage())
+}
+
+// awaitTurn waits until the kind is to be asked for at the store. While calls
+// fail only one kind is tried. It reports false when ctx has ended.
+func (f *Follower) awaitTurn(ctx context.Context, kind Kind) bool {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		wanted := f.watching || f.refresh[kind]
+		if f.failing && kind != KindConfig {
+			wanted = false
+		}
+		turn := f.turn
+		f.mu.Unlock()
+		if wanted {
+			return true
+		}
+		select {
+		case <-turn:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// wake lets loops that wait look again. The caller holds the lock.
+func (f *Follower) wake() {
+	close(f.turn)
+	f.turn = make(chan struct{})
+}
+
+// SetWatching makes this daemon watch the store, or leave that to others.
+func (f *Follower) SetWatching(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching = on
+	f.wake()
+}
+
 // round lists the kind, or waits for its next changes.
 func (f *Follower) round(ctx context.Context, kind Kind) error {
 	// The reducer's lock is never taken inside f.mu: effects take f.mu inside it.
@@ -194,7 +241,7 @@
 		return err
 	}
 	f.note(true)
-	f.apply(kind, changes, revision)
+	f.apply(kind, changes, revision, "store", f.afterOutage())
 	return nil
 }
 
@@ -233,22 +280,18 @@
 			cancel()
 		}
 	}
+	f.wake()
 }
 
 func (f *Follower) list(ctx context.Context, kind Kind) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, revision, err := f.store.List(ctx, kind)
+	objects, revision, err := f.store.List(ctx, kind, false)
 	if err != nil {
 		return err
 	}
 	f.note(true)
-	next := Followed{Revision: revision, Objects: make(map[string]json.RawMessage, len(objects))}
-	for _, o := range objects {
-		next.Objects[o.Name] = o.Value
-		next.Changed = max(next.Changed, o.Revision)
-	}
-	f.replace(kind, next, "store")
+	f.replace(kind, newFollowed(objects, revision), "store", f.afterOutage())
 	return nil
 }
 
@@ -266,6 +309,10 @@
 	if !ok {
 		f.lastFailure = time.Now()
 	}
+	if f.failing == ok {
+		f.failing = !ok
+		f.wake()
+	}
 	f.mu.Unlock()
 	f.post(gateway.StoreReached{OK: ok})
 }
@@ -276,67 +323,88 @@
 	return !f.lastFailure.IsZero() && time.Since(f.lastFailure) < outageMemory
 }
 
-// Adopt takes over what another daemon knows and this one does not.
-func (f *Follower) Adopt(v View) {
-	for _, kind := range Kinds {
-		theirs, ok := v[kind]
-		if !ok {
-			continue
-		}
-		f.mu.Lock()
-		mine, known := f.view[kind]
-		f.mu.Unlock()
-		if !known || theirs.Revision > mine.Revision {
-			f.replace(kind, theirs, "daemon")
-		}
+// Revisions returns the revisions up to which the kinds are known.
+func (f *Follower) Revisions() map[Kind]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[Kind]uint64, len(f.view))
+	for kind, known := range f.view {
+		out[kind] = known.Revision
 	}
+	return out
 }
 
-// View returns a copy of the view.
-func (f *Follower) View() View {
+// View returns what is known beyond the given revisions: changes where they are
+// known, otherwise the whole state of a kind.
+func (f *Follower) View(since map[Kind]uint64) View {
+	outage := f.afterOutage()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(View, len(f.view))
+	out := View{Kinds: map[Kind]Followed{}, AfterOutage: outage}
 	for kind, known := range f.view {
-		objects := make(map[string]json.RawMessage, len(known.Objects))
-		for name, value := range known.Objects {
-			objects[name] = value
+		revision, has := since[kind]
+		if has && known.Revision <= revision {
+			continue
+		}
+		if changes, ok := known.changesSince(revision); has && ok {
+			out.Kinds[kind] = changes
+		} else {
+			out.Kinds[kind] = known.clone()
 		}
-		out[kind] = Followed{Revision: known.Revision, Changed: known.Changed, Objects: objects}
 	}
 	return out
 }
 
-func (f *Follower) replace(kind Kind, next Followed, source string) {
+// Adopt takes over what another daemon knows and this one does not. have are
+// the revisions for which the other was asked.
+func (f *Follower) Adopt(v View, have map[Kind]uint64) {
+	for _, kind := range Kinds {
+		theirs, ok := v.Kinds[kind]
+		if !ok {
+			continue
+		}
+		if since, asked := have[kind]; asked && theirs.Since <= since && theirs.Since > 0 {
+			f.applyFollowed(kind, theirs, v.AfterOutage)
+			continue
+		}
+		f.replace(kind, theirs.clone(), "daemon", v.AfterOutage)
+	}
+}
+
+// applyFollowed applies the changes that another daemon knows.
+func (f *Follower) applyFollowed(kind Kind, theirs Followed, outage bool) {
+	var changes []Change
+	for _, o := range theirs.Objects {
+		changes = append(changes, Change{Object: o})
+	}
+	for name, revision := range theirs.Deleted {
+		changes = append(changes, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
+	}
+	f.apply(kind, changes, theirs.Revision, "daemon", outage)
+}
+
+// replace takes over the whole state of a kind if it is newer than the known one.
+func (f *Follower) replace(kind Kind, next Followed, source string, outage bool) {
 	f.mu.Lock()
-	if known, ok := f.view[kind]; ok && known.Revision > next.Revision {
+	if known, ok := f.view[kind]; ok && known.Revision >= next.Revision {
 		f.mu.Unlock()
 		return
 	}
 	f.view[kind] = next
 	f.changed[kind] = true
 	f.mu.Unlock()
-	f.postAll(kind, next, source)
+	f.postAll(kind, source, outage)
 }
 
-func (f *Follower) apply(kind Kind, changes []Change, revision uint64) {
+// apply takes over changes of a kind up to a revision, unless they are known.
+func (f *Follower) apply(kind Kind, changes []Change, revision uint64, source string, outage bool) {
 	f.mu.Lock()
 	known, ok := f.view[kind]
 	if !ok || revision < known.Revision {
 		f.mu.Unlock()
 		return
 	}
-	known.Revision = revision
-	latest := uint64(0)
-	for _, c := range changes {
-		latest = max(latest, c.Object.Revision)
-		if c.Deleted {
-			delete(known.Objects, c.Object.Name)
-		} else {
-			known.Objects[c.Object.Name] = c.Object.Value
-		}
-	}
-	known.Changed = max(known.Changed, latest)
+	known.apply(changes, revision)
 	f.view[kind] = known
 	f.changed[kind] = len(changes) > 0
 	f.mu.Unlock()
@@ -344,10 +412,9 @@
 		return
 	}
 	if kind != KindServers {
-		f.postAll(kind, known, "store")
+		f.postAll(kind, source, outage)
 		return
 	}
-	outage := f.afterOutage()
 	for _, c := range changes {
 		f.postServer(c, outage)
 	}
@@ -370,40 +437,37 @@
 }
 
 // postAll posts the whole state of a kind.
-func (f *Follower) postAll(kind Kind, known Followed, source string) {
+func (f *Follower) postAll(kind Kind, source string, outage bool) {
 	f.mu.Lock()
-	objects := make(map[string]json.RawMessage, len(known.Objects))
-	for name, value := range known.Objects {
-		objects[name] = value
-	}
+	known := f.view[kind].clone()
 	f.mu.Unlock()
 	switch kind {
 	case KindConfig:
-		f.postConfig(objects, source)
+		f.postConfig(known.Objects, source)
 	case KindServers:
-		f.post(f.servers(objects, source))
+		f.post(f.servers(known.Objects, outage))
 		f.setView(known.Changed)
 	case KindEvacuations:
 		e := gateway.EvacuationsListed{}
-		for name := range objects {
+		for name := range known.Objects {
 			e.FailureDomains = append(e.FailureDomains, name)
 		}
 		f.post(e)
 		f.setView(known.Changed)
 	case KindDaemons:
-		f.post(f.daemons(objects))
+		f.post(f.daemons(known.Objects))
 	}
 }
 
 // configName is the name of the object that holds the configuration.
 const configName = "main"
 
-func (f *Follower) postConfig(objects map[string]json.RawMessage, source string) {
-	value, ok := objects[configName]
+func (f *Follower) postConfig(objects map[string]Object, source string) {
+	o, ok := objects[configName]
 	if !ok {
 		return
 	}
-	c, err := f.decoder.Config(value)
+	c, err := f.decoder.Config(o.Value)
 	if err != nil {
 		f.onBad(KindConfig, configName, err)
 		return
@@ -411,10 +475,10 @@
 	f.post(gateway.ConfigSeen{Config: c, Source: source})
 }
 
-func (f *Follower) servers(objects map[string]json.RawMessage, source string) gateway.ServersListed {
-	e := gateway.ServersListed{AfterOutage: source != "store" || f.afterOutage()}
-	for name, value := range objects {
-		server, err := f.decoder.Server(name, value)
+func (f *Follower) servers(objects map[string]Object, outage bool) gateway.ServersListed {
+	e := gateway.ServersListed{AfterOutage: outage}
+	for name, o := range objects {
+		server, err := f.decoder.Server(name, o.Value)
 		if err != nil {
 			f.onBad(KindServers, name, err)
 			continue
@@ -424,11 +488,11 @@
 	return e
 }
 
-func (f *Follower) daemons(objects map[string]json.RawMessage) gateway.DaemonsListed {
+func (f *Follower) daemons(objects map[string]Object) gateway.DaemonsListed {
 	e := gateway.DaemonsListed{}
-	for name, value := range objects {
+	for name, o := range objects {
 		var entry gateway.DaemonEntry
-		if err := json.Unmarshal(value, &entry); err != nil {
+		if err := json.Unmarshal(o.Value, &entry); err != nil {
 			f.onBad(KindDaemons, name, err)
 			continue
 		}
--- /dev/null
+++ b/pkg/edge/view.go
@@ -0,0 +1,80 @@
+package edge
+
+import "maps"
+
+// Followed is the latest known state of a kind.
+type Followed struct {
+	// Revision is the store's revision up to which the state is known.
+	Revision uint64 `json:"revision"`
+	// Changed is the revision of the latest known change.
+	Changed uint64            `json:"changed"`
+	Objects map[string]Object `json:"objects"`
+	// Deleted are the revisions of deletions since Since.
+	Deleted map[string]uint64 `json:"deleted"`
+	Since   uint64            `json:"since"`
+}
+
+// View is the latest known state of all kinds, as daemons pass it on.
+type View struct {
+	Kinds map[Kind]Followed `json:"kinds"`
+	// AfterOutage means that the store was away a moment ago, so that deleted
+	// objects may come back.
+	AfterOutage bool `json:"afterOutage"`
+}
+
+// maxDeleted bounds the deletions that are kept for other daemons.
+const maxDeleted = 2000
+
+// newFollowed returns the state that a list gives.
+func newFollowed(objects []Object, revision uint64) Followed {
+	f := Followed{Revision: revision, Objects: make(map[string]Object, len(objects)), Deleted: map[string]uint64{}, Since: revision}
+	for _, o := range objects {
+		f.Objects[o.Name] = o
+		f.Changed = max(f.Changed, o.Revision)
+	}
+	return f
+}
+
+// clone returns a copy that shares no maps.
+func (f Followed) clone() Followed {
+	f.Objects, f.Deleted = maps.Clone(f.Objects), maps.Clone(f.Deleted)
+	return f
+}
+
+// apply takes over changes up to a revision.
+func (f *Followed) apply(changes []Change, revision uint64) {
+	f.Revision = max(f.Revision, revision)
+	for _, c := range changes {
+		f.Changed = max(f.Changed, c.Object.Revision)
+		if c.Deleted {
+			delete(f.Objects, c.Object.Name)
+			f.Deleted[c.Object.Name] = c.Object.Revision
+		} else {
+			f.Objects[c.Object.Name] = c.Object
+			delete(f.Deleted, c.Object.Name)
+		}
+	}
+	if len(f.Deleted) > maxDeleted {
+		f.Deleted, f.Since = map[string]uint64{}, f.Revision
+	}
+}
+
+// changesSince returns what changed after a revision; ok is false if that is not
+// known and the whole state is needed.
+func (f Followed) changesSince(revision uint64) (changes Followed, ok bool) {
+	if revision < f.Since {
+		return Followed{}, false
+	}
+	out := Followed{Revision: f.Revision, Changed: f.Changed, Objects: map[string]Object{}, Deleted: map[string]uint64{}, Since: revision}
+	for name, o := range f.Objects {
+		if o.Revision > revision {
+			out.Objects[name] = o
+		}
+	}
+	for name, r := range f.Deleted {
+		if r > revision {
+			out.Deleted[name] = r
+		}
+	}
+	return out, true
+}
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -109,7 +110,7 @@
 	core := gateway.New(gateway.Options{
 		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
 		Silence: time.Duration(float64(s.ContactLoss) * silenceShare), Seed: rand.Uint64(),
-		Seeds: d.seedAddresses(),
+		Seeds: d.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ip()),
 	})
 	d.pool = leafconn.NewPool(nil)
 	d.conns = edge.NewCallerConns()
@@ -143,6 +144,9 @@
 // RefreshView implements edge.PeerLink.
 func (l *lateLinks) RefreshView() { l.d.follower.Refresh() }
 
+// WatchStore implements edge.PeerLink.
+func (l *lateLinks) WatchStore(on bool) { l.d.follower.SetWatching(on) }
+
 // RemoveDaemon implements edge.StoreActions.
 func (l *lateLinks) RemoveDaemon(name string) { l.d.follower.RemoveDaemon(name) }
 
