Try the configuration's watch when another one fails; test the follower

Found by TestFollowerSilentWatch, which failed first: after a failed watch of the leafs its loop waited for the configuration's watch to end, up to 6 s later.

--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -161,6 +161,9 @@
 			f.forget(kind)
 		default:
 			f.note(false)
+			if kind != KindConfig {
+				f.tryConfig()
+			}
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
@@ -205,6 +208,18 @@
 	return false
 }
 
+// tryConfig cuts the watch of the configuration short, since the loops of the
+// other kinds wait for it to work after a failure.
+func (f *Follower) tryConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh[KindConfig] = true
+	if cancel, ok := f.waiting[KindConfig]; ok {
+		cancel()
+	}
+	f.wake()
+}
+
 // wake lets loops that wait look again. The caller holds the lock.
 func (f *Follower) wake() {
 	close(f.turn)
--- /dev/null
+++ b/pkg/edge/store_test.go
@@ -0,0 +1,319 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+)
+
+// fakeStore holds one list for all kinds and fails on request.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]Object
+	changes  []Change
+	gone     bool
+	down     bool
+	calls    int
+	// silent makes watches wait for their context to end.
+	silent bool
+}
+
+func (s *fakeStore) put(name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := Object{Name: name, Revision: s.revision, Value: json.RawMessage(value)}
+	s.objects[name] = o
+	s.changes = append(s.changes, Change{Object: o})
+}
+
+func (s *fakeStore) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.objects, name)
+	s.changes = append(s.changes, Change{Object: Object{Name: name, Revision: s.revision}, Deleted: true})
+}
+
+// List implements Store.
+func (s *fakeStore) List(context.Context, Kind, bool) ([]Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, ErrStore
+	}
+	var out []Object
+	for _, o := range s.objects {
+		out = append(out, o)
+	}
+	return out, s.revision, nil
+}
+
+// Watch implements Store.
+func (s *fakeStore) Watch(ctx context.Context, _ Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		down, gone, silent := s.down, s.gone, s.silent
+		var out []Change
+		for _, c := range s.changes {
+			if c.Object.Revision > since {
+				out = append(out, c)
+			}
+		}
+		revision := s.revision
+		s.gone = false
+		s.mu.Unlock()
+		switch {
+		case down, ctx.Err() != nil:
+			return nil, 0, ErrStore
+		case gone:
+			return nil, 0, ErrHistoryGone
+		case silent:
+			<-ctx.Done()
+			return nil, 0, ErrStore
+		case len(out) > 0 || time.Now().After(end):
+			return out, revision, nil
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// Create implements Store.
+func (s *fakeStore) Create(context.Context, Kind, string, any) (Object, error) { return Object{}, nil }
+
+// Replace implements Store.
+func (s *fakeStore) Replace(context.Context, Kind, Object, any) error { return nil }
+
+// Remove implements Store.
+func (s *fakeStore) Remove(context.Context, Kind, string) error { return nil }
+
+type fakeDecoder struct{}
+
+// Config implements Decoder.
+func (fakeDecoder) Config(v json.RawMessage) (*gateway.Config, error) {
+	var c gateway.Config
+	return &c, json.Unmarshal(v, &c)
+}
+
+// Server implements Decoder.
+func (fakeDecoder) Server(name string, v json.RawMessage) (gateway.Server, error) {
+	if string(v) == `"bad"` {
+		return gateway.Server{}, errors.New("bad")
+	}
+	return gateway.Server{ID: name}, nil
+}
+
+// followed is a follower with the leafs that its events make up.
+type followed struct {
+	*Follower
+	mu      sync.Mutex
+	leafs   map[string]bool
+	events  []gateway.Event
+	reached []bool
+}
+
+func newFollowerOf(s Store) *followed {
+	f := &followed{leafs: map[string]bool{}}
+	f.Follower = NewFollower(FollowerConfig{
+		Store: s, Decoder: fakeDecoder{}, Post: f.event, SetView: func(uint64) {},
+		OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
+	})
+	return f
+}
+
+func (f *followed) event(e gateway.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+	switch e := e.(type) {
+	case gateway.ServersListed:
+		f.leafs = map[string]bool{}
+		for _, s := range e.Servers {
+			f.leafs[s.ID] = true
+		}
+	case gateway.ServerChanged:
+		f.leafs[e.Server.ID] = true
+	case gateway.ServerRemoved:
+		delete(f.leafs, e.ID)
+	case gateway.StoreReached:
+		f.reached = append(f.reached, e.OK)
+	}
+}
+
+func (f *followed) names() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for name := range f.leafs {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return fmt.Sprint(out)
+}
+
+func (f *followed) await(t *testing.T, bound time.Duration, want string) {
+	t.Helper()
+	for end := time.Now().Add(bound); f.names() != want; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("leafs %s after %v, want %s", f.names(), bound, want)
+		}
+	}
+}
+
+func follow(t *testing.T, f *followed) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	for _, kind := range []Kind{KindConfig, KindServers} {
+		loops.Go(func() { _ = f.Follow(ctx, kind) })
+	}
+	t.Cleanup(func() { cancel(); loops.Wait() })
+}
+
+func newFakeStore() *fakeStore {
+	s := &fakeStore{objects: map[string]Object{}}
+	s.put("a", "1")
+	return s
+}
+
+// Guards against changes that are missed by a daemon that watches: entries that
+// come, go, cannot be read, or changed while the history was dropped.
+func TestFollowerWatches(t *testing.T) {
+	s := newFakeStore()
+	f := newFollowerOf(s)
+	f.SetWatching(true)
+	follow(t, f)
+	f.await(t, time.Second, "[a]")
+	s.put("b", "1")
+	s.remove("a")
+	f.await(t, time.Second, "[b]")
+	s.put("c", `"bad"`)
+	s.put("b", `"bad"`)
+	f.await(t, time.Second, "[]")
+	s.mu.Lock()
+	s.gone, s.changes = true, nil
+	s.mu.Unlock()
+	s.put("d", "1")
+	f.await(t, 2*time.Second, "[d]")
+}
+
+// Guards against a watch that was cut off without notice and is waited for in
+// vain: a daemon asks anew within the bound, and at once when another daemon
+// knows of a change.
+func TestFollowerSilentWatch(t *testing.T) {
+	for _, refresh := range []bool{false, true} {
+		s := newFakeStore()
+		f := newFollowerOf(s)
+		f.SetWatching(true)
+		s.silent = true
+		follow(t, f)
+		f.await(t, time.Second, "[a]")
+		time.Sleep(50 * time.Millisecond)
+		s.mu.Lock()
+		s.silent = false
+		s.mu.Unlock()
+		s.put("b", "1")
+		bound := watchFresh + watchSlack + maxBackoff
+		if refresh {
+			f.Refresh()
+			bound = refreshWait + watchSlack
+		}
+		f.await(t, bound, "[a b]")
+	}
+}
+
+// Guards against calls of daemons that do not watch, and against what others
+// know getting lost on the way to them.
+func TestFollowerAdopts(t *testing.T) {
+	s := newFakeStore()
+	watching, other := newFollowerOf(s), newFollowerOf(s)
+	watching.SetWatching(true)
+	follow(t, watching)
+	follow(t, other)
+	other.await(t, time.Second, "[a]")
+	s.put("b", "1")
+	s.remove("a")
+	watching.await(t, time.Second, "[b]")
+	have := other.Revisions()
+	view := watching.View(have)
+	if kind := view.Kinds[KindServers]; len(kind.Objects) != 1 || len(kind.Deleted) != 1 {
+		t.Errorf("passed on: %+v, want the changes alone", kind)
+	}
+	// The view travels as JSON.
+	data, err := json.Marshal(view)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received View
+	if err := json.Unmarshal(data, &received); err != nil {
+		t.Fatal(err)
+	}
+	other.Adopt(received, have)
+	other.await(t, time.Second, "[b]")
+	empty := newFollowerOf(s)
+	empty.Adopt(watching.View(nil), nil)
+	empty.await(t, time.Second, "[b]")
+	// An old view does not take anything back.
+	empty.Adopt(received, map[Kind]uint64{KindServers: 0})
+	empty.await(t, time.Second, "[b]")
+	if empty.View(empty.Revisions()).Kinds[KindServers].Revision != 0 {
+		t.Error("a view is passed on to a daemon that has it")
+	}
+}
+
+// Guards against a view of before an outage that is lost, and against entries
+// that lapsed meanwhile being taken as gone at once.
+func TestFollowerOutage(t *testing.T) {
+	s := newFakeStore()
+	f := newFollowerOf(s)
+	f.SetWatching(true)
+	follow(t, f)
+	f.await(t, time.Second, "[a]")
+	s.mu.Lock()
+	s.down = true
+	s.mu.Unlock()
+	time.Sleep(200 * time.Millisecond)
+	f.await(t, 0, "[a]")
+	s.remove("a")
+	s.mu.Lock()
+	s.down = false
+	s.mu.Unlock()
+	f.await(t, 2*time.Second, "[]")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reported := false
+	for _, e := range f.events {
+		removed, ok := e.(gateway.ServerRemoved)
+		reported = reported || (ok && removed.AfterOutage)
+	}
+	if !reported {
+		t.Errorf("the removal is not reported as one after an outage: %+v", f.events)
+	}
+}
+
+// Guards against a state that is kept for others without bound.
+func TestDeletionsAreBounded(t *testing.T) {
+	f := newFollowed(nil, 1)
+	for i := range maxDeleted + 10 {
+		f.apply([]Change{{Object: Object{Name: fmt.Sprint(i), Revision: uint64(i + 2)}, Deleted: true}}, uint64(i+2))
+	}
+	if len(f.Deleted) > maxDeleted {
+		t.Errorf("%d deletions are kept", len(f.Deleted))
+	}
+	if _, ok := f.changesSince(1); ok {
+		t.Error("changes are passed on though deletions were dropped")
+	}
+}
