Metrics of an edge daemon; a refusal as not run is true while connecting

Found by widening TestInvariants to idempotent requests: a query of which one shard had answered could be refused as 'not run'. The reducer now allows each attempt its first byte (BeginCall), and allows none after a refusal; TestDeadlineWhileConnecting.

--- a/cmd/pistachiousher-edge/main.go
+++ b/cmd/pistachiousher-edge/main.go
@@ -32,8 +32,8 @@
 	return edged.Run(context.Background(), settings, edged.Platform{
 		Protocol: platform.Protocol{},
 		Decoder:  platform.Decoder{},
-		NewStore: func(address string) edge.Store {
-			return platform.NewStore(address, func(edge.Kind, string, string) {})
+		NewStore: func(address string, count edged.StoreCounter) edge.Store {
+			return platform.NewStore(address, count)
 		},
 		ReadyHandler:     func(r *edge.Runtime) http.Handler { return platform.NewReadyHandler(r) },
 		DirectoryHandler: func(r *edge.Runtime, ttl time.Duration) http.Handler { return platform.NewDirectoryHandler(r, ttl) },
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -128,6 +128,7 @@
 type SendCall struct {
 	Call    CallID
 	Query   QueryID
+	Service string
 	Server  string
 	Address string
 	// Wait is how long the leaf may work, from now.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -60,6 +60,8 @@
 	stopping       bool
 	// lapsed is the number of servers that are held after an outage.
 	lapsed int
+	// waitingServices are the services with parts in their queue.
+	waitingServices []*service
 }
 
 // New returns a reducer without configuration or leafs.
@@ -128,7 +130,7 @@
 	if s.lapsed > 0 {
 		wake = min(wake, s.now.Add(lapsedScan))
 	}
-	if s.anyQueued() {
+	if len(s.waitingServices) > 0 {
 		wake = min(wake, s.now.Add(queueScan))
 	}
 	return wake
@@ -207,3 +209,51 @@
 	s.members.changed = true
 	s.emit(Log{Kind: LogStopStarted, Number: int64(len(s.queries))})
 }
+
+// Status is what metrics show of the reducer's state.
+type Status struct {
+	ConfigVersion uint64
+	// ViewAge is how long the list of leafs could not be confirmed.
+	ViewAge      time.Duration
+	ViewRevision uint64
+	Ready        bool
+	Watcher      bool
+	StoreDown    bool
+	Leafs        int
+	ColdLeafs    int
+	SuspectLeafs int
+	Daemons      int
+	OpenRequests int
+	OpenCalls    int
+	Queued       int
+	// LeastTokens is the least retry budget of all services, in attempts.
+	LeastTokens float64
+	// Share is this daemon's part of what all daemons together may do.
+	Share float64
+}
+
+// Status returns the state as metrics show it.
+func (s *State) Status() Status {
+	_, daemons := s.AliveRank()
+	out := Status{
+		ConfigVersion: s.Version(), ViewAge: s.age(), ViewRevision: s.members.viewRevision, Ready: s.Ready(),
+		Watcher: s.members.watcher, StoreDown: s.storeDown, Leafs: len(s.servers), Daemons: daemons,
+		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.share(),
+	}
+	for _, srv := range s.servers {
+		if srv.coldUntil > s.now {
+			out.ColdLeafs++
+		}
+		if srv.speed >= suspectSpeed {
+			out.SuspectLeafs++
+		}
+	}
+	first := true
+	for _, svc := range s.services {
+		out.Queued += len(svc.queue)
+		if first || svc.tokens < out.LeastTokens {
+			out.LeastTokens, first = svc.tokens, false
+		}
+	}
+	return out
+}
--- a/pkg/core/gateway/gateway_test.go
+++ b/pkg/core/gateway/gateway_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against a request that is refused as not run and sent afterwards, and
+// against a refusal that leaves open whether a request ran that was never sent.
+func TestDeadlineWhileConnecting(t *testing.T) {
+	w := newWorld(t)
+	r := plain("/u/", "x")
+	r.Idempotent = false
+	w.configure(1, nil, r)
+	w.leafs(2, "x")
+	w.connecting = true
+	q := w.request("/u/", 300*time.Millisecond)
+	w.pass(300 * time.Millisecond)
+	got, ok := w.final[q].(Refuse)
+	if !ok || !got.Reason.NotRun() {
+		t.Errorf("final answer %+v", w.final[q])
+	}
+	if w.s.BeginCall(w.sent[0].Call) {
+		t.Error("the attempt may be sent after the refusal")
+	}
+}
+
 // Guards against hedges and retries beyond the share of requests and slack that
 // all daemons together may use.
 func TestRetryBudget(t *testing.T) {
--- a/pkg/core/gateway/invariant_test.go
+++ b/pkg/core/gateway/invariant_test.go
@@ -20,6 +20,7 @@
 	next    QueryID
 	queries map[QueryID]*played
 	open    map[CallID]SendCall
+	begun   map[CallID]bool
 	ended   map[CallID]Outcome
 	callers map[CallID]QueryID
 	servers map[string]Server
@@ -33,9 +34,11 @@
 	route   *Route
 	perPart map[string]int
 	mayRun  bool
-	running int
-	final   Effect
-	gone    bool
+	// running counts the open attempts of which bytes may have left, waiting
+	// those that still connect.
+	running, waiting int
+	final            Effect
+	gone             bool
 }
 
 var machineRoutes = func() map[string]*Route {
@@ -56,7 +59,7 @@
 			Self:     DaemonEntry{Name: "d1", Incarnation: 1, PeerAddress: "d1:70", CallerAddress: "d1:80", FailureDomain: "a"},
 			RegionOf: map[string]string{"a": "north", "b": "north"}, RetryRatio: 0.2, RetrySlack: 20, Silence: time.Second, Seed: 7,
 		}),
-		now: 1, queries: map[QueryID]*played{}, open: map[CallID]SendCall{}, ended: map[CallID]Outcome{},
+		now: 1, queries: map[QueryID]*played{}, open: map[CallID]SendCall{}, begun: map[CallID]bool{}, ended: map[CallID]Outcome{},
 		callers: map[CallID]QueryID{}, servers: map[string]Server{}, evac: map[string]bool{},
 		firsts: map[string]int{}, extras: map[string]int{},
 	}
@@ -82,9 +85,6 @@
 	case Refuse:
 		m.final(t, e.Query, e)
 		q := m.queries[e.Query]
-		if q.route == nil || q.route.Idempotent {
-			return
-		}
 		if e.Reason.NotRun() && (q.mayRun || q.running > 0) {
 			t.Fatalf("request %d is refused as %v and may have run", e.Query, e.Reason)
 		}
@@ -101,7 +101,7 @@
 		t.Fatalf("sent to %s, which gets no work", e.Server)
 	case e.Wait <= 0:
 		t.Fatalf("sent to %s with %v left", e.Server, e.Wait)
-	case !q.route.Idempotent && (q.mayRun || q.running > 0):
+	case !q.route.Idempotent && (q.mayRun || q.running+q.waiting > 0):
 		t.Fatalf("request %d is not idempotent and is sent again", e.Query)
 	}
 	if q.perPart[srv.Service] == 0 {
@@ -110,7 +110,7 @@
 		m.extras[srv.Service]++
 	}
 	q.perPart[srv.Service]++
-	q.running++
+	q.waiting++
 	if q.perPart[srv.Service] > q.route.MaxAttempts {
 		t.Fatalf("request %d: %d attempts at service %s, allowed %d", e.Query, q.perPart[srv.Service], srv.Service, q.route.MaxAttempts)
 	}
@@ -178,24 +178,32 @@
 	if len(m.open) == 0 {
 		t.Skip("no call is open")
 	}
-	ids := make([]CallID, 0, len(m.open))
-	for id := range m.open {
-		ids = append(ids, id)
+	id := m.draw(t)
+	if !m.begun[id] && rapid.Bool().Draw(t, "begins") {
+		m.begin(t, id)
 	}
-	slices.Sort(ids)
-	id := rapid.SampledFrom(ids).Draw(t, "call")
-	o := rapid.SampledFrom([]Outcome{
-		OutcomeSucceeded, OutcomeSucceeded, OutcomeSucceeded, OutcomeNotSent, OutcomeNotExecuted, OutcomeWrongServer, OutcomeFailed, OutcomeLost,
-	}).Draw(t, "outcome")
+	outcomes := []Outcome{OutcomeNotSent, OutcomeCancelled}
+	if m.begun[id] {
+		outcomes = []Outcome{
+			OutcomeSucceeded, OutcomeSucceeded, OutcomeSucceeded, OutcomeNotExecuted, OutcomeWrongServer, OutcomeFailed, OutcomeLost, OutcomeCancelled,
+		}
+	}
+	o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
 	c := m.open[id]
 	delete(m.open, id)
 	m.ended[id] = o
 	q := m.queries[c.Query]
-	q.running--
+	if m.begun[id] {
+		q.running--
+	} else {
+		q.waiting--
+	}
 	switch o {
 	case OutcomeNotSent:
 		q.perPart[m.servers[c.Server].Service]--
 		m.extras[m.servers[c.Server].Service]--
+	case OutcomeCancelled:
+		q.mayRun = q.mayRun || m.begun[id]
 	case OutcomeSucceeded, OutcomeFailed, OutcomeLost:
 		q.mayRun = true
 	case OutcomeWrongServer:
@@ -206,6 +214,39 @@
 	m.post(t, CallDone{Call: id, Outcome: o})
 }
 
+// draw picks one of the open calls.
+func (m *machine) draw(t *rapid.T) CallID {
+	ids := make([]CallID, 0, len(m.open))
+	for id := range m.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "call")
+}
+
+// begin lets an attempt be sent, if the reducer allows it.
+func (m *machine) begin(t *rapid.T, id CallID) {
+	q := m.queries[m.callers[id]]
+	if !m.s.BeginCall(id) {
+		return
+	}
+	if refused, ok := q.final.(Refuse); ok && refused.Reason.NotRun() {
+		t.Fatalf("request %d was refused as %v and is sent", m.callers[id], refused.Reason)
+	}
+	m.begun[id] = true
+	q.waiting--
+	q.running++
+}
+
+func (m *machine) beginAny(t *rapid.T) {
+	if len(m.open) == 0 {
+		t.Skip("no call is open")
+	}
+	if id := m.draw(t); !m.begun[id] {
+		m.begin(t, id)
+	}
+}
+
 func (m *machine) callerGone(t *rapid.T) {
 	if m.next == 0 {
 		t.Skip("no request yet")
@@ -250,7 +291,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"request": m.request, "request2": m.request, "callDone": m.callDone, "callDone2": m.callDone, "callDone3": m.callDone,
-			"pass": m.pass, "server": m.server, "configure": m.configure, "evacuate": m.evacuate, "callerGone": m.callerGone,
+			"begin": m.beginAny, "begin2": m.beginAny, "pass": m.pass, "server": m.server, "configure": m.configure, "evacuate": m.evacuate, "callerGone": m.callerGone,
 		})
 		// All requests end by their deadline.
 		m.now = m.now.Add(2 * time.Second)
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -70,6 +70,17 @@
 	return n
 }
 
+// begunCalls is the number of open attempts of which bytes may have left.
+func (p *part) begunCalls() int {
+	n := 0
+	for _, c := range p.calls {
+		if !c.ended && c.begun {
+			n++
+		}
+	}
+	return n
+}
+
 // query is one request of a caller.
 type query struct {
 	id        QueryID
@@ -105,7 +116,10 @@
 	part   int
 	server *server
 	sentAt model.Time
-	ended  bool
+	// begun means that the first byte may have left.
+	begun     bool
+	cancelled bool
+	ended     bool
 }
 
 func (s *State) arrive(e RequestArrived) {
@@ -182,8 +196,7 @@
 		s.send(q, i, srv, false)
 		s.probe(q, i)
 	case chooseBusy:
-		p.state = partQueued
-		p.svc.queue = append(p.svc.queue, waiting{q, i})
+		s.enqueue(q, i)
 	case chooseNone:
 		s.partFailed(q, i, "no_server")
 	}
@@ -206,7 +219,7 @@
 		q.hedges++
 	}
 	s.emit(SendCall{
-		Call: c.id, Query: q.id, Server: srv.ID, Address: srv.Address,
+		Call: c.id, Query: q.id, Service: srv.Service, Server: srv.ID, Address: srv.Address,
 		Wait: q.leafDeadline.Sub(s.now), MaxIdle: s.connections(srv.svc),
 	})
 }
@@ -242,7 +255,7 @@
 	case OutcomeNotSent, OutcomeNotExecuted, OutcomeWrongServer:
 		s.again(q, c.part, e.Outcome)
 	default:
-		p.mayHaveRun = true
+		p.mayHaveRun = p.mayHaveRun || c.begun
 		if e.Outcome == OutcomeFailed {
 			p.failed = c
 		}
@@ -266,8 +279,8 @@
 // requests, and their end tells how fast the leaf is.
 func (s *State) cancelQueued(p *part) {
 	for _, c := range p.calls {
-		if !c.ended && s.load(c.server) > float64(c.server.Slots) {
-			s.emit(CancelCall{Call: c.id})
+		if s.load(c.server) > float64(c.server.Slots) {
+			s.cancelCall(c)
 		}
 	}
 }
@@ -277,12 +290,29 @@
 
 func (s *State) cancelCalls(p *part) {
 	for _, c := range p.calls {
-		if !c.ended {
-			s.emit(CancelCall{Call: c.id})
-		}
+		s.cancelCall(c)
 	}
 }
 
+func (s *State) cancelCall(c *call) {
+	if !c.ended && !c.cancelled {
+		c.cancelled = true
+		s.emit(CancelCall{Call: c.id})
+	}
+}
+
+// BeginCall notes that an attempt is about to be sent and reports whether it
+// still may be. Invariant: nothing is sent of an attempt that was cancelled, so
+// a refusal as not run stays true.
+func (s *State) BeginCall(id CallID) bool {
+	c, ok := s.calls[id]
+	if !ok || c.cancelled {
+		return false
+	}
+	c.begun = true
+	return true
+}
+
 // again repeats a failed attempt where that is allowed: always if it cannot
 // have run, otherwise only if the request is idempotent; within MaxAttempts,
 // the deadline and the retry budget.
@@ -309,8 +339,7 @@
 		s.send(q, i, srv, false)
 	case chooseBusy:
 		q.retries++
-		p.state = partQueued
-		p.svc.queue = append(p.svc.queue, waiting{q, i})
+		s.enqueue(q, i)
 	case chooseNone:
 		s.partFailed(q, i, p.failure)
 	}
@@ -353,7 +382,7 @@
 func (s *State) refusal(q *query) Refusal {
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.mayHaveRun || p.openCalls() > 0 {
+		if p.state == partIn || p.mayHaveRun || p.begunCalls() > 0 {
 			return RefusalFailed
 		}
 	}
@@ -366,6 +395,10 @@
 }
 
 func (s *State) refuse(q *query, why Refusal) {
+	if why.NotRun() {
+		// What was not sent yet must not be sent after the refusal.
+		s.cancel(q)
+	}
 	s.emit(Refuse{Query: q.id, Reason: why, RetryAfter: s.retryAfter(why)})
 	s.close(q, LogQueryRefused, why.String())
 }
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -114,26 +114,36 @@
 	return srv.coldTokens >= 1
 }
 
-func (s *State) anyQueued() bool {
-	for _, svc := range s.services {
-		if len(svc.queue) > 0 {
-			return true
-		}
+// enqueue lets a part wait for a connection or for a cold leaf.
+func (s *State) enqueue(q *query, i int) {
+	p := &q.parts[i]
+	p.state = partQueued
+	if len(p.svc.queue) == 0 {
+		s.waitingServices = append(s.waitingServices, p.svc)
 	}
-	return false
+	p.svc.queue = append(p.svc.queue, waiting{q, i})
 }
 
 // scanQueues starts waiting parts for which there is a leaf now.
 func (s *State) scanQueues() {
-	for _, svc := range s.services {
-		if len(svc.queue) > 0 {
-			s.scanQueue(svc)
+	if len(s.waitingServices) == 0 {
+		return
+	}
+	waiting := s.waitingServices
+	s.waitingServices = nil
+	for _, svc := range waiting {
+		s.scanQueue(svc)
+		if len(svc.queue) > 0 && !slices.Contains(s.waitingServices, svc) {
+			s.waitingServices = append(s.waitingServices, svc)
 		}
 	}
 }
 
 // scanQueue starts waiting parts by priority, then by arrival.
 func (s *State) scanQueue(svc *service) {
+	if len(svc.queue) == 0 {
+		return
+	}
 	slices.SortStableFunc(svc.queue, func(a, b waiting) int { return a.query.route.Priority - b.query.route.Priority })
 	rest := svc.queue[:0]
 	for _, w := range svc.queue {
--- a/pkg/core/gateway/world_test.go
+++ b/pkg/core/gateway/world_test.go
@@ -20,6 +20,8 @@
 	logs  []Log
 	other []Effect
 	next  QueryID
+	// connecting leaves attempts unsent until begin.
+	connecting bool
 }
 
 func newWorld(t *testing.T) *world {
@@ -50,6 +52,9 @@
 		case SendCall:
 			w.sent = append(w.sent, e)
 			w.open[e.Call] = e
+			if !w.connecting && !w.s.BeginCall(e.Call) {
+				w.t.Fatalf("attempt %d may not be sent", e.Call)
+			}
 		case ForwardAnswer:
 			w.answered(e.Query, e)
 		case MergeAnswer:
--- a/pkg/edge/calls.go
+++ b/pkg/edge/calls.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/leafconn"
@@ -18,15 +19,17 @@
 	r.protocol.ToLeaf(request.Header, e.Wait, e.Server)
 	x := &leafconn.Exchange{
 		Server: e.Server, Address: e.Address, Request: request, Wait: e.Wait, MaxIdle: e.MaxIdle,
-		Ours: func(resp *http.Response) bool { return r.protocol.Ours(resp.Header, p.id) },
+		Begin: func() bool { return r.begin(e.Call) },
+		Ours:  func(resp *http.Response) bool { return r.protocol.Ours(resp.Header, p.id) },
 	}
 	r.calls[e.Call] = x
-	go r.runCall(e.Call, p, x)
+	go r.runCall(e, p, x)
 }
 
-func (r *Runtime) runCall(id gateway.CallID, p *pending, x *leafconn.Exchange) {
+func (r *Runtime) runCall(e gateway.SendCall, p *pending, x *leafconn.Exchange) {
+	start := time.Now()
 	answer, err := r.pool.Do(x)
-	done := gateway.CallDone{Call: id}
+	done := gateway.CallDone{Call: e.Call}
 	var kept *leafAnswer
 	if err != nil {
 		done.Outcome = outcome(err)
@@ -36,15 +39,25 @@
 		done.Load, done.HasLoad = a.Load, a.HasLoad
 		kept = &leafAnswer{Answer: answer, stamp: a.Stamp}
 	}
+	r.observer.Call(e.Service, done.Outcome, time.Since(start))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.calls, id)
+	delete(r.calls, e.Call)
 	if kept != nil {
-		p.answers[id] = kept
+		p.answers[e.Call] = kept
 	}
 	r.post(done)
 }
 
+// begin notes that a request is about to be sent. It reports false if the
+// attempt was cancelled: what the reducer said of the request since then relies
+// on its not being sent.
+func (r *Runtime) begin(id gateway.CallID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.BeginCall(id)
+}
+
 // outcome translates an error of the pool.
 func outcome(err error) gateway.Outcome {
 	switch {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -17,6 +17,7 @@
 	protocol Protocol
 	pool     *leafconn.Pool
 	log      func(gateway.Log)
+	observer Observer
 	peers    PeerLink
 	store    StoreActions
 	start    time.Time
@@ -40,6 +41,12 @@
 	WatchStore(on bool)
 }
 
+// Observer counts what happens. Its methods do not wait.
+type Observer interface {
+	// Call is told of the end of an attempt at a leaf of a service.
+	Call(service string, outcome gateway.Outcome, took time.Duration)
+}
+
 // StoreActions are the writes that the reducer asks for. They do not wait.
 type StoreActions interface {
 	RemoveDaemon(name string)
@@ -51,6 +58,7 @@
 	Protocol Protocol
 	Pool     *leafconn.Pool
 	Log      func(gateway.Log)
+	Observer Observer
 	Peers    PeerLink
 	Store    StoreActions
 	// OnLimits is told of the limits of each configuration; it must not wait.
@@ -60,7 +68,7 @@
 // New returns a Runtime. Peers and Store may call it at once.
 func New(c Config) *Runtime {
 	r := &Runtime{
-		protocol: c.Protocol, pool: c.Pool, log: c.Log, peers: c.Peers, store: c.Store,
+		protocol: c.Protocol, pool: c.Pool, log: c.Log, observer: c.Observer, peers: c.Peers, store: c.Store,
 		start: time.Now(), core: c.Core, onLimit: c.OnLimits,
 		pending: map[gateway.QueryID]*pending{},
 		calls:   map[gateway.CallID]*leafconn.Exchange{},
@@ -158,3 +166,10 @@
 	place, _ = r.core.AliveRank()
 	return place, r.core.Watchers()
 }
+
+// Status returns the reducer's state as metrics show it.
+func (r *Runtime) Status() gateway.Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Status()
+}
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
@@ -31,12 +32,15 @@
 	Protocol edge.Protocol
 	Decoder  edge.Decoder
 	// NewStore returns a client of the store at an address.
-	NewStore func(address string) edge.Store
+	NewStore func(address string, count StoreCounter) edge.Store
 	// ReadyHandler and DirectoryHandler answer the platform and callers.
 	ReadyHandler     func(r *edge.Runtime) http.Handler
 	DirectoryHandler func(r *edge.Runtime, ttl time.Duration) http.Handler
 }
 
+// StoreCounter is told the kind, operation and outcome of each call to the store.
+type StoreCounter func(kind edge.Kind, operation, outcome string)
+
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
@@ -69,6 +73,7 @@
 	log      *logwriter.Writer
 	self     gateway.DaemonEntry
 	callers  *http.Server
+	registry *prometheus.Registry
 	conns    *edge.CallerConns
 	// callerListener is closed by a stopping daemon, after listenerClosed is set.
 	callerListener net.Listener
@@ -112,18 +117,21 @@
 		Silence: time.Duration(float64(s.ContactLoss) * silenceShare), Seed: rand.Uint64(),
 		Seeds: d.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ip()),
 	})
-	d.pool = leafconn.NewPool(nil)
+	d.registry = prometheus.NewRegistry()
+	m := NewMetrics(d.registry)
+	d.pool = leafconn.NewPool(m.opened.Inc)
 	d.conns = edge.NewCallerConns()
-	lines := &logs{out: d.log}
+	lines := &logs{out: d.log, metrics: m}
 	link := &lateLinks{d: d}
 	d.runtime = edge.New(edge.Config{
-		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Peers: link, Store: link,
+		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Observer: m, Peers: link, Store: link,
 		OnLimits: func(l gateway.Limits) { d.conns.SetIdleLimit(l.IdleTimeout) },
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
-		Store: p.NewStore(s.StoreAddress), Decoder: p.Decoder, Post: d.runtime.Post,
+		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
 		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Rank: d.runtime.AliveRank,
 	})
+	registerStatus(d.registry, d.runtime.Status, d.log.Dropped)
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
 	d.callers = &http.Server{
 		Handler: d.conns.Handler(d.runtime), ReadHeaderTimeout: headerTimeout,
@@ -171,8 +179,8 @@
 }
 
 type listeners struct {
-	caller, ready, directory, view net.Listener
-	peer                           *net.UDPConn
+	caller, ready, directory, view, metrics net.Listener
+	peer                                    *net.UDPConn
 }
 
 func listen(s *Settings) (*listeners, error) {
@@ -181,7 +189,10 @@
 	for _, x := range []struct {
 		at   *net.Listener
 		addr string
-	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.view, peer}} {
+	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.view, peer}, {&l.metrics, s.Listen.Metrics}} {
+		if x.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", x.addr)
 		if err != nil {
 			return nil, fmt.Errorf("edged: listen: %w", err)
@@ -219,6 +230,9 @@
 	addServer(g, "ready", &http.Server{Handler: p.ReadyHandler(d.runtime), ReadHeaderTimeout: headerTimeout}, l.ready)
 	directory := p.DirectoryHandler(d.runtime, d.settings.AddressTTL)
 	addServer(g, "directory", &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, l.directory)
+	if l.metrics != nil {
+		addServer(g, "metrics", &http.Server{Handler: metricsHandler(d.registry), ReadHeaderTimeout: headerTimeout}, l.metrics)
+	}
 	addServer(g, "view", &http.Server{Handler: d.peers.Handler(), ReadHeaderTimeout: headerTimeout}, l.view)
 }
 
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -1,6 +1,7 @@
 package edged_test
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/edged"
 	"github.com/pistachiousher/pistachiousher/standin/leaf"
 )
 
@@ -119,3 +121,120 @@
 		t.Errorf("%d requests were passed on, %d answered", ran, answered.Load())
 	}
 }
+
+// Guards against callers that are sent to a daemon that stops, or only to one
+// of several.
+func TestDirectoryOfTwoDaemons(t *testing.T) {
+	s := newSite(t)
+	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	a, b := s.daemon(1), s.daemon(2)
+	eventually(t, startBound, "both are named", func() bool { return len(a.addresses()) == 2 && len(b.addresses()) == 2 })
+	b.cancel()
+	eventually(t, 500*time.Millisecond, "the stopping daemon is not named", func() bool {
+		return len(a.addresses()) == 1 && a.addresses()[0] == a.settings.Listen.Caller
+	})
+	b.stop()
+	b.start()
+	eventually(t, startBound, "the daemon is named after its restart", func() bool { return len(a.addresses()) == 2 })
+}
+
+// Guards against a daemon that starts while the store is away and serves
+// nothing though another daemon knows configuration and leafs.
+func TestStartDuringOutage(t *testing.T) {
+	s := newSite(t)
+	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	a := s.daemon(1)
+	eventually(t, startBound, "ready", a.ready)
+	s.store.SetDown(true)
+	b := s.daemon(2)
+	eventually(t, 3*time.Second, "ready during the outage", b.ready)
+	for _, d := range []*daemon{a, b} {
+		if got := d.call("GET", "/one/x", "q", time.Second, ""); got.body != "body" {
+			t.Errorf("%s: answer %+v", d.settings.VM, got)
+		}
+	}
+	s.store.SetDown(false)
+	s.configure(route("/one/", map[string]any{"backend": "two"}))
+	eventually(t, 3*time.Second, "a configuration written after the outage", func() bool {
+		return a.call("GET", "/one/x", "q", time.Second, "").status == http.StatusServiceUnavailable &&
+			b.call("GET", "/one/x", "q", time.Second, "").status == http.StatusServiceUnavailable
+	})
+}
+
+// Guards against requests that run twice, refusals that are untrue, and callers
+// that are not told when to come back.
+func TestNotIdempotentOverTheWire(t *testing.T) {
+	s := newSite(t)
+	lost := s.leaf("i-1", "lost", leaf.Behavior{Lose: true})
+	shed := s.leaf("i-2", "shed", leaf.Behavior{Shed: true})
+	s.configure(
+		route("/lost/", map[string]any{"backend": "lost", "kind": "unsafe"}),
+		route("/shed/", map[string]any{"backend": "shed", "kind": "unsafe"}),
+	)
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	if a := d.call("POST", "/lost/x", "q1", time.Second, "order"); a.status != http.StatusBadGateway || a.header.Get("Retry-After") != "" {
+		t.Errorf("lost answer: %+v", a)
+	}
+	if ran := lost.Ran(); len(ran) != 1 || ran[0].Body != "order" || ran[0].RequestID != "q1" || ran[0].Path != "/lost/x" || ran[0].Method != "POST" {
+		t.Errorf("ran %+v", ran)
+	}
+	if a := d.call("POST", "/shed/x", "q2", time.Second, "order"); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+		t.Errorf("shed request: %+v", a)
+	}
+	if len(shed.Ran()) != 0 {
+		t.Error("a shed request ran")
+	}
+	if a := d.call("POST", "/none/x", "q3", time.Second, ""); a.status != http.StatusNotFound {
+		t.Errorf("unknown route: %+v", a)
+	}
+	if a := d.call("POST", "/lost/x", "q4", time.Second, strings.Repeat("x", 1001)); a.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("body over the limit: %+v", a)
+	}
+}
+
+// Guards against a leaf's answer that comes late on a kept connection and is
+// taken as another request's.
+func TestLateSecondAnswer(t *testing.T) {
+	s := newSite(t)
+	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body"), Extra: true})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	for i := range 20 {
+		id := "q" + strings.Repeat("x", i)
+		a := d.call("GET", "/one/x", id, time.Second, "")
+		if a.status != http.StatusOK || a.header.Get("X-Pistachiousher-Request-Id") != id {
+			t.Errorf("answer to %s: %+v", id, a)
+		}
+		time.Sleep(time.Duration(i) * 2 * time.Millisecond)
+	}
+}
+
+// Guards against work that goes on after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	s := newSite(t)
+	l := s.leaf("i-1", "one", leaf.Behavior{Work: 5 * time.Second})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	d.client.Timeout = 100 * time.Millisecond
+	d.call("GET", "/one/x", "q", 2*time.Second, "")
+	eventually(t, 500*time.Millisecond, "the leaf stops", func() bool { return l.Cut() == 1 })
+	if deadline := l.Ran()[0].Deadline; len(deadline) != 4 || deadline > "2000" {
+		t.Errorf("the leaf was given %s ms of 2000", deadline)
+	}
+}
+
+// Guards against metrics or settings that a daemon cannot use.
+func TestSettings(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown key": "vm: a\nfoo: 1", "no vm": "failure_domain: a", "bad address": "vm: a\nfailure_domain: a\nlisten: {caller: x}",
+	} {
+		if _, err := edged.ParseSettings(name, []byte(text)); !errors.Is(err, edged.ErrSettings) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/pkg/edged/harness_test.go
+++ b/pkg/edged/harness_test.go
@@ -28,7 +28,6 @@
 	store   *objects.Store
 	server  *httptest.Server
 	version int
-	routes  []map[string]any
 	peer    int
 }
 
@@ -129,6 +128,7 @@
 regions: [{failure_domain: a, region: north}]
 listen: {caller: "%s:%d", ready: "%s:%d", directory: "%s:%d"}
 peer_port: %d
+seeds: ["127.0.0.1:1"]
 store: "%s"
 retry: {ratio: 0.2, slack: 50}
 stop: 3s
@@ -165,8 +165,8 @@
 func adapter() edged.Platform {
 	return edged.Platform{
 		Protocol: platform.Protocol{}, Decoder: platform.Decoder{},
-		NewStore: func(address string) edge.Store {
-			return platform.NewStore(address, func(edge.Kind, string, string) {})
+		NewStore: func(address string, count edged.StoreCounter) edge.Store {
+			return platform.NewStore(address, count)
 		},
 		ReadyHandler:     func(r *edge.Runtime) http.Handler { return platform.NewReadyHandler(r) },
 		DirectoryHandler: func(r *edge.Runtime, ttl time.Duration) http.Handler { return platform.NewDirectoryHandler(r, ttl) },
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -42,12 +42,16 @@
 // at a time.
 type logs struct {
 	out     *logwriter.Writer
+	metrics *Metrics
 	second  int64
 	written int
 	leftOut int
 }
 
 func (l *logs) write(e gateway.Log) {
+	if e.Query != nil {
+		l.metrics.request(e.Query)
+	}
 	if e.Kind == gateway.LogQueryAnswered && !l.room() {
 		return
 	}
--- /dev/null
+++ b/pkg/edged/metrics.go
@@ -0,0 +1,154 @@
+package edged
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edge"
+)
+
+// MetricsPath is where metrics are served.
+const MetricsPath = "/metrics"
+
+// maxServices bounds the services with series of their own; the others are
+// counted together.
+const maxServices = 64
+
+// otherServices is the label of services beyond maxServices.
+const otherServices = "other"
+
+// requestBuckets and callBuckets are upper ends in seconds, around the latency
+// targets of today's sites.
+var (
+	requestBuckets = []float64{.02, .05, .08, .12, .2, .5, .8, 2, 8}
+	callBuckets    = []float64{.005, .01, .02, .04, .08, .16, .4, 1.5}
+)
+
+// Metrics are the collectors of a daemon.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	missing  *prometheus.CounterVec
+	extra    *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+	callTime *prometheus.HistogramVec
+	store    *prometheus.CounterVec
+	opened   prometheus.Counter
+	// mu guards services.
+	mu       sync.Mutex
+	services map[string]bool
+}
+
+// NewMetrics registers the collectors of a daemon.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pistachiousher_edge_" + name, Help: help}, labels)
+		r.MustRegister(c)
+		return c
+	}
+	histogram := func(name, help, label string, buckets []float64) *prometheus.HistogramVec {
+		h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "pistachiousher_edge_" + name, Help: help, Buckets: buckets}, []string{label})
+		r.MustRegister(h)
+		return h
+	}
+	m := &Metrics{
+		requests: counter("requests_total", "Requests of callers by route and outcome.", "route", "outcome"),
+		latency:  histogram("request_seconds", "Time from a request to its final answer.", "route", requestBuckets),
+		missing:  counter("missing_shards_total", "Shards that answers lack.", "route"),
+		extra:    counter("extra_attempts_total", "Attempts beyond the first, and those that the budget denied.", "route", "kind"),
+		calls:    counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
+		callTime: histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
+		store:    counter("store_calls_total", "Calls to the store.", "kind", "operation", "outcome"),
+		services: map[string]bool{},
+	}
+	m.opened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
+	r.MustRegister(m.opened)
+	return m
+}
+
+// request counts the end of a request.
+func (m *Metrics) request(q *gateway.QueryReport) {
+	m.requests.WithLabelValues(q.Route, q.Outcome).Inc()
+	if q.Route == "" {
+		return
+	}
+	m.latency.WithLabelValues(q.Route).Observe(q.Elapsed.Seconds())
+	m.missing.WithLabelValues(q.Route).Add(float64(q.Missing))
+	m.extra.WithLabelValues(q.Route, "hedge").Add(float64(q.Hedges))
+	m.extra.WithLabelValues(q.Route, "retry").Add(float64(q.Retries))
+	m.extra.WithLabelValues(q.Route, "denied").Add(float64(q.BudgetDenied))
+}
+
+// Call implements edge.Observer.
+func (m *Metrics) Call(service string, outcome gateway.Outcome, took time.Duration) {
+	label := m.serviceLabel(service)
+	m.calls.WithLabelValues(label, outcome.String()).Inc()
+	if outcome == gateway.OutcomeSucceeded {
+		m.callTime.WithLabelValues(label).Observe(took.Seconds())
+	}
+}
+
+// serviceLabel bounds the number of series.
+func (m *Metrics) serviceLabel(service string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.services[service] {
+		if len(m.services) >= maxServices {
+			return otherServices
+		}
+		m.services[service] = true
+	}
+	return service
+}
+
+// StoreCall counts a call to the store.
+func (m *Metrics) StoreCall(kind edge.Kind, operation, outcome string) {
+	m.store.WithLabelValues(string(kind), operation, outcome).Inc()
+}
+
+// registerStatus registers gauges of the reducer's state.
+func registerStatus(r prometheus.Registerer, status func() gateway.Status, dropped func() uint64) {
+	gauge := func(name, help string, value func(gateway.Status) float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Name: "pistachiousher_edge_" + name, Help: help},
+			func() float64 { return value(status()) },
+		))
+	}
+	flag := func(on bool) float64 {
+		if on {
+			return 1
+		}
+		return 0
+	}
+	gauge("config_version", "Version of the configuration in force; 0 for none.", func(s gateway.Status) float64 { return float64(s.ConfigVersion) })
+	gauge("view_revision", "Store revision of the latest known change of leafs.", func(s gateway.Status) float64 { return float64(s.ViewRevision) })
+	gauge("view_age_seconds", "Time for which the list of leafs could not be confirmed.", func(s gateway.Status) float64 { return s.ViewAge.Seconds() })
+	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return flag(s.Ready) })
+	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return flag(s.Watcher) })
+	gauge("store_down", "1 if calls to the store fail.", func(s gateway.Status) float64 { return flag(s.StoreDown) })
+	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
+	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
+	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
+	gauge("daemons", "Daemons that are heard and reach the store, this one included.", func(s gateway.Status) float64 { return float64(s.Daemons) })
+	gauge("open_requests", "Requests without a final answer.", func(s gateway.Status) float64 { return float64(s.OpenRequests) })
+	gauge("open_calls", "Attempts at leafs that have not ended.", func(s gateway.Status) float64 { return float64(s.OpenCalls) })
+	gauge("queued", "Shards that wait for a connection or a cold leaf.", func(s gateway.Status) float64 { return float64(s.Queued) })
+	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
+	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
+	r.MustRegister(prometheus.NewCounterFunc(
+		prometheus.CounterOpts{Name: "pistachiousher_edge_log_lines_dropped_total", Help: "Log lines dropped because the output was slow."},
+		func() float64 { return float64(dropped()) },
+	))
+}
+
+// metricsHandler serves the metrics of a registry.
+func metricsHandler(g prometheus.Gatherer) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
+	return mux
+}
--- a/pkg/leafconn/exchange.go
+++ b/pkg/leafconn/exchange.go
@@ -44,6 +44,9 @@
 	Wait time.Duration
 	// MaxIdle is the number of idle connections that may be kept to the leaf.
 	MaxIdle int
+	// Begin, if set, is called before the first byte is sent; nothing is sent if it
+	// returns false.
+	Begin func() bool
 
 	mu        sync.Mutex
 	conn      *conn
@@ -143,6 +146,9 @@
 	if err := c.SetDeadline(time.Now().Add(x.Wait + lateAnswer)); err != nil {
 		return nil, 0, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
+	if x.Begin != nil && !x.Begin() {
+		return nil, 0, ErrCancelled
+	}
 	if err := send(x.Request, c); err != nil {
 		return nil, 0, err
 	}
--- a/standin/leaf/leaf.go
+++ b/standin/leaf/leaf.go
@@ -158,12 +158,13 @@
 }
 
 // answerTwice sends the answer and, some time later, another one that no
-// request asked for.
+// request asked for, and then closes the connection.
 func (l *Leaf) answerTwice(w http.ResponseWriter, run Run, b Behavior) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
+	defer conn.Close()
 	send := func(id, stamp string) {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Pistachiousher-Request-Id: %s\r\nX-Pistachiousher-Server-Stamp: %s\r\n\r\n%s",
 			len(b.Body), id, stamp, b.Body)
