--- a/cmd/pistachiousher/main.go
+++ b/cmd/pistachiousher/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cli.Run(ctx, &cli.Env{Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now}, os.Args[1:])
+	code := cli.Run(ctx, &cli.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now}, os.Args[1:])
 	stop()
 	os.Exit(int(code))
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -19,6 +19,7 @@
 
 // Env is what a command gets from its process.
 type Env struct {
+	Stdin          io.Reader
 	Stdout, Stderr io.Writer
 	Now            func() time.Time
 }
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -23,7 +23,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){name: func() {
-		env := &Env{Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now}
+		env := &Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now}
 		os.Exit(int(Run(context.Background(), env, os.Args[1:])))
 	}})
 }
@@ -49,6 +49,7 @@
 			"outage":       cmdOutage,
 			"daemon":       cmdDaemon,
 			"entry":        cmdEntry,
+			"edge-daemon":  cmdEdgeDaemon,
 		},
 	})
 }
--- a/pkg/cli/commands.go
+++ b/pkg/cli/commands.go
@@ -20,6 +20,7 @@
 		{Name: "server", Group: groupOperation, Synopsis: "drain backend servers and put them back", Sub: serverCommands()},
 		{Name: "status", Group: groupOperation, Synopsis: "show what is out of service and what each daemon has in force",
 			New: func() Action { return new(statusAction) }},
+		{Name: "edge", Group: groupOperation, Synopsis: "look into edge daemons on the users' platform", Sub: edgeCommands()},
 		{Name: "replay", Group: groupOther, Args: "FILE", Synopsis: "run a recorded trace through a new reducer and compare its effects",
 			New: func() Action { return new(replayAction) }},
 		{Name: "demo", Group: groupOther, Synopsis: "run a whole query tier in this process, take a failure domain out and check every answer",
--- /dev/null
+++ b/pkg/cli/edge.go
@@ -0,0 +1,374 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edged"
+)
+
+// edgeCommands are the commands for edge daemons.
+func edgeCommands() []Command {
+	return []Command{
+		{Name: "check", Args: "FILE", Synopsis: "check the settings of an edge daemon", New: func() Action { return new(edgeCheckAction) }},
+		{Name: "status", Synopsis: "show the state of an edge daemon and the daemons that it knows", New: func() Action { return new(edgeStatusAction) }},
+		{Name: "routes", Synopsis: "show the configuration in force at an edge daemon", New: func() Action { return new(edgeRoutesAction) }},
+		{Name: "leafs", Args: "[SERVICE]", Synopsis: "show what an edge daemon knows of leafs", New: func() Action { return new(edgeLeafsAction) }},
+		{Name: "explain", Args: "HOST PATH", Synopsis: "show where a request would go now", New: func() Action { return new(edgeExplainAction) }},
+		{Name: "follow", Args: "REQUEST-ID [FILE...]", Synopsis: "find a request in logs, from files or standard input", New: func() Action { return new(edgeFollowAction) }},
+	}
+}
+
+// askTimeout bounds a question to a daemon's admin address.
+const askTimeout = 5 * time.Second
+
+// edgeFlag names the admin address of an edge daemon.
+type edgeFlag struct{ address string }
+
+// Flags declares the flag.
+func (e *edgeFlag) Flags(f *flag.FlagSet) {
+	f.StringVar(&e.address, "daemon", "", "admin `address` of the daemon, ip:port")
+}
+
+// ask reads JSON from the daemon.
+func (e *edgeFlag) ask(ctx context.Context, path string, query url.Values, into any) error {
+	if e.address == "" {
+		return usage("-daemon is required")
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	target := "http://" + e.address + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return usage("-daemon %q is no ip:port", e.address)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: %v", e.address, err), Next: "check the address and that the daemon runs"}
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(into); err != nil || resp.StatusCode != http.StatusOK {
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: status %d, %v", e.address, resp.StatusCode, err), Next: "check that this is the admin address of an edge daemon"}
+	}
+	return nil
+}
+
+// edgeCheckAction checks a settings file.
+type edgeCheckAction struct{}
+
+type checkedSettings struct {
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// WriteText implements Result.
+func (c checkedSettings) WriteText(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "ok: vm %s in failure domain %s\n", c.VM, c.FailureDomain)
+	return err
+}
+
+// Flags implements Action.
+func (*edgeCheckAction) Flags(*flag.FlagSet) {}
+
+// Run implements Action.
+func (*edgeCheckAction) Run(_ context.Context, _ *Env, args []string) (Result, error) {
+	path, err := oneArgument("settings file", args)
+	if err != nil {
+		return nil, err
+	}
+	s, err := edged.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	return checkedSettings{VM: s.VM, FailureDomain: s.FailureDomain}, nil
+}
+
+// edgeStatusAction shows the state of a daemon.
+type edgeStatusAction struct{ edgeFlag }
+
+type edgeStatus struct{ edged.StatusReply }
+
+// WriteText implements Result.
+func (s edgeStatus) WriteText(w io.Writer) error {
+	st := s.Status
+	out := fmt.Sprintf("%s: ready %v, configuration %d, view revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.ViewRevision, st.ViewAge)
+	out += fmt.Sprintf("store: watched %v, down %v\n", st.Watcher, st.StoreDown)
+	out += fmt.Sprintf("leafs: %d, cold %d, suspect %d\n", st.Leafs, st.ColdLeafs, st.SuspectLeafs)
+	out += fmt.Sprintf("open: %d requests, %d calls, %d queued; least retry budget %.1f, share %.3f\n", st.OpenRequests, st.OpenCalls, st.Queued, st.LeastTokens, st.Share)
+	for _, d := range s.Daemons {
+		out += fmt.Sprintf("daemon %s: alive %v, active %v, heard %d ms ago, configuration %d, view %d\n", d.Name, d.Alive, d.Active, d.HeardMS, d.ConfigVersion, d.ViewRevision)
+	}
+	_, err := io.WriteString(w, out)
+	return err
+}
+
+// Run implements Action.
+func (a *edgeStatusAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
+	if len(args) > 0 {
+		return nil, usage("unexpected argument %q", args[0])
+	}
+	var s edgeStatus
+	if err := a.ask(ctx, edged.StatusPath, nil, &s.StatusReply); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// edgeRoutesAction shows the configuration in force.
+type edgeRoutesAction struct{ edgeFlag }
+
+type edgeRoutes struct{ edged.RoutesReply }
+
+// WriteText implements Result.
+func (r edgeRoutes) WriteText(w io.Writer) error {
+	out := fmt.Sprintf("configuration %d\n", r.ConfigVersion)
+	for _, route := range r.Routes {
+		out += fmt.Sprintf("%s: %s%s %s\n", route.Name, route.Host, route.PathPrefix, destination(route))
+	}
+	_, err := io.WriteString(w, out)
+	return err
+}
+
+func destination(r *gateway.Route) string {
+	if len(r.Shards) > 0 {
+		return fmt.Sprintf("over %d shards, top %d, at least %v of them", len(r.Shards), r.TopK, r.MinShardRatio)
+	}
+	var parts []string
+	for _, t := range r.Targets {
+		parts = append(parts, fmt.Sprintf("%s (weight %v)", t.Service, t.Weight))
+	}
+	return "to " + strings.Join(parts, ", ")
+}
+
+// Run implements Action.
+func (a *edgeRoutesAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
+	if len(args) > 0 {
+		return nil, usage("unexpected argument %q", args[0])
+	}
+	var r edgeRoutes
+	if err := a.ask(ctx, edged.RoutesPath, nil, &r.RoutesReply); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// edgeLeafsAction shows leafs.
+type edgeLeafsAction struct{ edgeFlag }
+
+type edgeLeafs []gateway.LeafStatus
+
+// WriteText implements Result.
+func (l edgeLeafs) WriteText(w io.Writer) error {
+	var out strings.Builder
+	for _, x := range l {
+		fmt.Fprintf(&out, "%s %s %s %s: usable %v, draining %v, evacuated %v, cold %d ms, calls %d, load %.1f, latency x%.1f, failures %.2f, silent %d ms\n",
+			x.Service, x.ID, x.Address, x.FailureDomain, x.Usable, x.Draining, x.Evacuated, x.ColdMS, x.OpenCalls, x.Load, x.RelativeLatency, x.FailureRate, x.SilentMS)
+	}
+	_, err := io.WriteString(w, out.String())
+	return err
+}
+
+// Run implements Action.
+func (a *edgeLeafsAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
+	if len(args) > 1 {
+		return nil, usage("want one service at most")
+	}
+	query := url.Values{}
+	if len(args) == 1 {
+		query.Set("service", args[0])
+	}
+	var l edgeLeafs
+	if err := a.ask(ctx, edged.LeafsPath, query, &l); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// edgeExplainAction explains a route.
+type edgeExplainAction struct{ edgeFlag }
+
+type edgeExplanation struct{ gateway.Explanation }
+
+// WriteText implements Result.
+func (e edgeExplanation) WriteText(w io.Writer) error {
+	if e.Route == nil {
+		_, err := fmt.Fprintf(w, "configuration %d has no route for it\n", e.ConfigVersion)
+		return err
+	}
+	r := e.Route
+	out := fmt.Sprintf("configuration %d, view age %d ms\nroute %s: %s%s %s\n", e.ConfigVersion, e.ViewAgeMS, r.Name, r.Host, r.PathPrefix, destination(r))
+	out += fmt.Sprintf("idempotent %v, attempts %d, timeout %v, target %v, hedge after %.0f ms, partial answer at %.0f ms\n",
+		r.Idempotent, r.MaxAttempts, r.Timeout, r.LatencyTarget, e.HedgeAfterMS, e.AnswerByMS)
+	if _, err := io.WriteString(w, out); err != nil {
+		return err
+	}
+	for _, s := range e.Services {
+		if _, err := fmt.Fprintf(w, "service %s: %d leafs, retry budget %.1f, queued %d, %d connections a leaf\n", s.Name, len(s.Leafs), s.RetryTokens, s.Queued, s.Connections); err != nil {
+			return err
+		}
+		if err := edgeLeafs(s.Leafs).WriteText(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run implements Action.
+func (a *edgeExplainAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
+	if len(args) != 2 {
+		return nil, usage("want a host and a path")
+	}
+	var e edgeExplanation
+	if err := a.ask(ctx, edged.ExplainPath, url.Values{"host": {args[0]}, "path": {args[1]}}, &e.Explanation); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// edgeFollowAction finds a request in logs.
+type edgeFollowAction struct{ context time.Duration }
+
+// Flags implements Action.
+func (a *edgeFollowAction) Flags(f *flag.FlagSet) {
+	f.DurationVar(&a.context, "context", 2*time.Second, "how long before the request's line changes of leafs, daemons and configuration are shown")
+}
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	Timestamp time.Time      `json:"timestamp"`
+	Message   string         `json:"message"`
+	Fields    map[string]any `json:"fields"`
+}
+
+type followed struct {
+	Request []logLine `json:"request"`
+	// Before are lines about leafs that the request's lines name.
+	Before []logLine `json:"before"`
+}
+
+// WriteText implements Result.
+func (f followed) WriteText(w io.Writer) error {
+	for _, part := range []struct {
+		title string
+		lines []logLine
+	}{{"the request", f.Request}, {"what became of its leafs before", f.Before}} {
+		if len(part.lines) == 0 {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%s:\n", part.title); err != nil {
+			return err
+		}
+		for _, l := range part.lines {
+			if _, err := fmt.Fprintf(w, "  %s %s %s\n", l.Timestamp.Format(time.RFC3339Nano), l.Message, l.fields()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (l logLine) fields() string {
+	var words []string
+	for k, v := range l.Fields {
+		words = append(words, fmt.Sprintf("%s=%v", k, v))
+	}
+	sort.Strings(words)
+	return strings.Join(words, " ")
+}
+
+// Run implements Action. Lines that are no JSON are passed over: logs of several
+// processes may be mixed.
+func (a *edgeFollowAction) Run(_ context.Context, env *Env, args []string) (Result, error) {
+	if len(args) == 0 {
+		return nil, usage("want a request id")
+	}
+	lines, err := readLogs(env, args[1:])
+	if err != nil {
+		return nil, err
+	}
+	var f followed
+	for _, l := range lines {
+		if l.Fields["request"] == args[0] {
+			f.Request = append(f.Request, l)
+		}
+	}
+	if len(f.Request) == 0 {
+		return nil, &Failure{Code: ExitFailed, Message: fmt.Sprintf("request %q is not in these logs", args[0]),
+			Next: "answered requests may be left out of the log: look for edge_lines_left_out at that time"}
+	}
+	f.Before = before(lines, f.Request[0], a.context)
+	return f, nil
+}
+
+// before returns lines about leafs, shortly before the request's line, that it
+// names.
+func before(lines []logLine, request logLine, span time.Duration) []logLine {
+	named := fmt.Sprint(request.Fields["why"], " ", request.Fields["servers"])
+	var out []logLine
+	for _, l := range lines {
+		subject, ok := l.Fields["subject"].(string)
+		age := request.Timestamp.Sub(l.Timestamp)
+		if ok && subject != "" && age >= 0 && age <= span && strings.Contains(named, subject) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func readLogs(env *Env, paths []string) ([]logLine, error) {
+	if len(paths) == 0 {
+		return scanLog(env.Stdin)
+	}
+	var all []logLine
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := scanLog(f)
+		f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// maxLine bounds a line of a log in bytes.
+const maxLine = 1 << 20
+
+func scanLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal([]byte(text[start:]), &l) == nil && l.Message != "" {
+			out = append(out, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	return out, nil
+}
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -101,6 +101,13 @@
 // StoreReached tells whether the latest call to the store worked.
 type StoreReached struct{ OK bool }
 
+// SettingsChanged are the settings that may change while a daemon runs.
+type SettingsChanged struct {
+	RetryRatio, RetrySlack float64
+	Silence                time.Duration
+	Seeds                  []string
+}
+
 // Tick is sent at the time that NextWake returned.
 type Tick struct{}
 
@@ -118,6 +125,7 @@
 func (DaemonsListed) event()     {}
 func (GossipReceived) event()    {}
 func (StoreReached) event()      {}
+func (SettingsChanged) event()   {}
 func (Tick) event()              {}
 func (StopRequested) event()     {}
 
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -109,6 +109,9 @@
 		s.gossipReceived(e)
 	case StoreReached:
 		s.storeReached(e.OK)
+	case SettingsChanged:
+		s.opt.RetryRatio, s.opt.RetrySlack = e.RetryRatio, e.RetrySlack
+		s.opt.Silence, s.opt.Seeds = e.Silence, e.Seeds
 	case StopRequested:
 		s.stop()
 	}
--- /dev/null
+++ b/pkg/core/gateway/inspect.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// LeafStatus is what a daemon knows of a leaf.
+type LeafStatus struct {
+	ID            string  `json:"id"`
+	Service       string  `json:"service"`
+	Address       string  `json:"address"`
+	FailureDomain string  `json:"failureDomain"`
+	Usable        bool    `json:"usable"`
+	Draining      bool    `json:"draining"`
+	Evacuated     bool    `json:"evacuated"`
+	ColdMS        int64   `json:"coldMs"`
+	OpenCalls     int     `json:"openCalls"`
+	Load          float64 `json:"load"`
+	// RelativeLatency is 1 for the usual latency of a route.
+	RelativeLatency float64 `json:"relativeLatency"`
+	FailureRate     float64 `json:"failureRate"`
+	// SilentMS is how long it has not answered with calls open.
+	SilentMS int64 `json:"silentMs"`
+}
+
+// Leafs returns the leafs of a service, or all if it is empty, by service and id.
+func (s *State) Leafs(service string) []LeafStatus {
+	out := []LeafStatus{}
+	for _, srv := range s.servers {
+		if service != "" && srv.Service != service {
+			continue
+		}
+		srv.decay(s.now)
+		out = append(out, LeafStatus{
+			ID: srv.ID, Service: srv.Service, Address: srv.Address, FailureDomain: srv.FailureDomain,
+			Usable: s.usable(srv) && s.open(srv), Draining: srv.Draining, Evacuated: s.evacuated[srv.FailureDomain],
+			ColdMS: max(0, srv.coldUntil.Sub(s.now).Milliseconds()), OpenCalls: len(srv.inflight), Load: s.load(srv),
+			RelativeLatency: srv.speed, FailureRate: srv.failures, SilentMS: srv.stallAge(s.now).Milliseconds(),
+		})
+	}
+	slices.SortFunc(out, func(a, b LeafStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// DaemonStatus is what a daemon knows of another one.
+type DaemonStatus struct {
+	DaemonEntry
+	Alive   bool  `json:"alive"`
+	HeardMS int64 `json:"heardMs"`
+	Active  bool  `json:"active"`
+}
+
+// Daemons returns this daemon and those that it knows, by name.
+func (s *State) Daemons() []DaemonStatus {
+	active := map[string]bool{}
+	for _, e := range s.active(nil) {
+		active[e.Name] = true
+	}
+	self := s.self()
+	out := []DaemonStatus{{DaemonEntry: self, Alive: true, Active: active[self.Name]}}
+	for _, name := range s.daemonNames() {
+		d := s.daemons[name]
+		heard := int64(-1)
+		if d.heardAt > 0 {
+			heard = s.now.Sub(d.heardAt).Milliseconds()
+		}
+		out = append(out, DaemonStatus{DaemonEntry: d.DaemonEntry, Alive: s.alive(d), HeardMS: heard, Active: active[name]})
+	}
+	slices.SortFunc(out, func(a, b DaemonStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Explanation says where a request for a host and path would go now.
+type Explanation struct {
+	ConfigVersion uint64  `json:"configVersion"`
+	ViewAgeMS     int64   `json:"viewAgeMs"`
+	Route         *Route  `json:"route"`
+	HedgeAfterMS  float64 `json:"hedgeAfterMs"`
+	AnswerByMS    float64 `json:"answerByMs"`
+	// Services are the services of the route with what is known of their leafs.
+	Services []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is what a daemon knows of a service.
+type ServiceStatus struct {
+	Name string `json:"name"`
+	// RetryTokens is the retry budget that is left, in attempts.
+	RetryTokens float64      `json:"retryTokens"`
+	Connections int          `json:"connectionsPerLeaf"`
+	Queued      int          `json:"queued"`
+	Leafs       []LeafStatus `json:"leafs"`
+}
+
+// Explain says where a request for a host and path would go now. The route is
+// nil if none matches.
+func (s *State) Explain(host, path string) Explanation {
+	e := Explanation{ConfigVersion: s.Version(), ViewAgeMS: s.age().Milliseconds()}
+	if s.config == nil {
+		return e
+	}
+	e.Route = s.config.Match(host, path)
+	if e.Route == nil {
+		return e
+	}
+	services := e.Route.Shards
+	if len(services) > 0 {
+		e.AnswerByMS = milliseconds(answerTime(e.Route))
+	}
+	for _, t := range e.Route.Targets {
+		services = append(services, t.Service)
+	}
+	if e.Route.Idempotent && e.Route.MaxAttempts > 1 {
+		e.HedgeAfterMS = milliseconds(s.hedgeDelay(e.Route))
+	}
+	for _, name := range services {
+		svc := s.service(name)
+		e.Services = append(e.Services, ServiceStatus{
+			Name: name, RetryTokens: svc.tokens, Connections: s.connections(svc), Queued: len(svc.queue), Leafs: s.Leafs(name),
+		})
+	}
+	return e
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Routes returns the routes of the configuration in force.
+func (s *State) Routes() (version uint64, routes []*Route) {
+	if s.config == nil {
+		return 0, nil
+	}
+	return s.config.Version, s.config.Routes
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -166,10 +166,3 @@
 	place, _ = r.core.AliveRank()
 	return place, r.core.Watchers()
 }
-
-// Status returns the reducer's state as metrics show it.
-func (r *Runtime) Status() gateway.Status {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.core.Status()
-}
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -42,6 +42,8 @@
 type StoreCounter func(kind edge.Kind, operation, outcome string)
 
 const (
+	// settingsCheck is the interval at which the settings file is looked at.
+	settingsCheck = 5 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// silenceShare of the contact loss is the silence after which a daemon is not
@@ -75,6 +77,8 @@
 	callers  *http.Server
 	registry *prometheus.Registry
 	conns    *edge.CallerConns
+	// settingsRead is the modification time of the settings file in use.
+	settingsRead time.Time
 	// callerListener is closed by a stopping daemon, after listenerClosed is set.
 	callerListener net.Listener
 	listenerClosed atomic.Bool
@@ -106,6 +110,7 @@
 
 func newDaemon(s *Settings, p Platform, l *listeners, logOutput io.Writer) *daemon {
 	d := &daemon{settings: s, log: logwriter.NewSized(logOutput, s.LogLevel, nil, logQueue)}
+	d.settingsRead = modified(s.Path)
 	d.self = gateway.DaemonEntry{
 		Name: s.VM, CallerAddress: s.Listen.Caller, PeerAddress: s.peerAddress(s.ip()), FailureDomain: s.FailureDomain,
 		Cores: s.Cores,
@@ -114,8 +119,7 @@
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	core := gateway.New(gateway.Options{
 		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
-		Silence: time.Duration(float64(s.ContactLoss) * silenceShare), Seed: rand.Uint64(),
-		Seeds: d.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ip()),
+		Silence: s.silence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ip()),
 	})
 	d.registry = prometheus.NewRegistry()
 	m := NewMetrics(d.registry)
@@ -131,7 +135,7 @@
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
 		SetView: d.runtime.SetViewRevision, OnInvalid: d.invalidObject, Rank: d.runtime.AliveRank,
 	})
-	registerStatus(d.registry, d.runtime.Status, d.log.Dropped)
+	registerStatus(d.registry, d.status, d.log.Dropped)
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
 	d.callers = &http.Server{
 		Handler: d.conns.Handler(d.runtime), ReadHeaderTimeout: headerTimeout,
@@ -158,16 +162,6 @@
 // RemoveDaemon implements edge.StoreActions.
 func (l *lateLinks) RemoveDaemon(name string) { l.d.follower.RemoveDaemon(name) }
 
-func (d *daemon) seedAddresses() []string {
-	var out []string
-	for _, ip := range d.settings.Seeds {
-		if ip != d.settings.ip() {
-			out = append(out, d.settings.peerAddress(ip))
-		}
-	}
-	return out
-}
-
 func (d *daemon) invalidObject(kind edge.Kind, name string, err error) {
 	d.log.Write(logevent.EdgeObjectInvalid, []logevent.Field{
 		logevent.Str("kind", kind), logevent.Str("name", name), logevent.Str("error", err.Error()),
@@ -179,8 +173,8 @@
 }
 
 type listeners struct {
-	caller, ready, directory, view, metrics net.Listener
-	peer                                    *net.UDPConn
+	caller, ready, directory, view, admin net.Listener
+	peer                                  *net.UDPConn
 }
 
 func listen(s *Settings) (*listeners, error) {
@@ -189,7 +183,7 @@
 	for _, x := range []struct {
 		at   *net.Listener
 		addr string
-	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.view, peer}, {&l.metrics, s.Listen.Metrics}} {
+	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.view, peer}, {&l.admin, s.Listen.Admin}} {
 		if x.addr == "" {
 			continue
 		}
@@ -230,8 +224,8 @@
 	addServer(g, "ready", &http.Server{Handler: p.ReadyHandler(d.runtime), ReadHeaderTimeout: headerTimeout}, l.ready)
 	directory := p.DirectoryHandler(d.runtime, d.settings.AddressTTL)
 	addServer(g, "directory", &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, l.directory)
-	if l.metrics != nil {
-		addServer(g, "metrics", &http.Server{Handler: metricsHandler(d.registry), ReadHeaderTimeout: headerTimeout}, l.metrics)
+	if l.admin != nil {
+		addServer(g, "admin", &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout}, l.admin)
 	}
 	addServer(g, "view", &http.Server{Handler: d.peers.Handler(), ReadHeaderTimeout: headerTimeout}, l.view)
 }
@@ -273,23 +267,29 @@
 	})
 }
 
-// addSignals adds the graceful shutdown on SIGTERM and SIGINT. SIGHUP has the
-// settings checked.
+// addSignals adds the graceful shutdown on SIGTERM and SIGINT. The settings are
+// read anew on SIGHUP and when their file has changed without a signal.
 func (d *daemon) addSignals(ctx context.Context, g *run.Group) {
 	signals := make(chan os.Signal, 4)
 	done := make(chan struct{})
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	g.Add(func() error {
 		defer signal.Stop(signals)
+		check := time.NewTicker(settingsCheck)
+		defer check.Stop()
 		for {
 			select {
 			case s := <-signals:
 				if s == syscall.SIGHUP {
-					d.log.Write(logevent.EdgeSettingsRead, nil)
+					d.reload()
 					continue
 				}
 				d.stop(done)
 				return errStopped
+			case <-check.C:
+				if d.settingsChanged() {
+					d.reload()
+				}
 			case <-ctx.Done():
 				d.stop(done)
 				return errStopped
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -247,3 +250,42 @@
 		}
 	}
 }
+
+// Guards against a daemon that stops, or goes on without word, when its settings
+// file is changed to one that it cannot use.
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	d.stop()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(d.text)
+	settings, err := edged.LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.settings = settings
+	d.start()
+	eventually(t, startBound, "ready", d.ready)
+	hangUp := func() {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("vm: [")
+	hangUp()
+	eventually(t, 2*time.Second, "the fault is logged", func() bool { return strings.Contains(d.log.String(), "edge_settings_invalid") })
+	write(strings.Replace(d.text, "ratio: 0.2", "ratio: 0.1", 1))
+	hangUp()
+	eventually(t, 2*time.Second, "the change is logged", func() bool { return strings.Contains(d.log.String(), "edge_settings_read") })
+	if a := d.call("GET", "/one/x", "q", time.Second, ""); a.status != http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+}
--- a/pkg/edged/harness_test.go
+++ b/pkg/edged/harness_test.go
@@ -94,6 +94,7 @@
 type daemon struct {
 	t        *testing.T
 	settings *edged.Settings
+	text     string
 	cancel   context.CancelFunc
 	done     chan struct{}
 	log      *lockedBuffer
@@ -139,7 +140,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	d := &daemon{t: s.t, settings: settings, client: &http.Client{Transport: &http.Transport{}}}
+	d := &daemon{t: s.t, settings: settings, text: text, client: &http.Client{Transport: &http.Transport{}}}
 	d.start()
 	s.t.Cleanup(func() { d.stop() })
 	return d
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -1,20 +1,15 @@
 package edged
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 )
 
-// MetricsPath is where metrics are served.
-const MetricsPath = "/metrics"
-
 // maxServices bounds the services with series of their own; the others are
 // counted together.
 const maxServices = 64
@@ -145,10 +140,3 @@
 		func() float64 { return float64(dropped()) },
 	))
 }
-
-// metricsHandler serves the metrics of a registry.
-func metricsHandler(g prometheus.Gatherer) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET "+MetricsPath, promhttp.HandlerFor(g, promhttp.HandlerOpts{}))
-	return mux
-}
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -23,6 +23,8 @@
 
 // Settings of an edge daemon.
 type Settings struct {
+	// Path is the file that the settings were read from; empty if none.
+	Path          string
 	VM            string
 	FailureDomain string
 	// Regions maps each failure domain to its region.
@@ -47,8 +49,9 @@
 	LogLevel   log.Level
 }
 
-// ListenSettings are ip:port addresses. Control and Metrics may be empty.
-type ListenSettings struct{ Caller, Ready, Directory, Metrics string }
+// ListenSettings are ip:port addresses. Admin, for metrics and the command line,
+// may be empty.
+type ListenSettings struct{ Caller, Ready, Directory, Admin string }
 
 // RetrySettings bound the attempts beyond the first of all daemons.
 type RetrySettings struct {
@@ -81,7 +84,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("edged: %w", err)
 	}
-	return ParseSettings(path, data)
+	s, err := ParseSettings(path, data)
+	if err != nil {
+		return nil, err
+	}
+	s.Path = path
+	return s, nil
 }
 
 // ParseSettings reads and checks settings. The name appears in the faults.
@@ -96,7 +104,7 @@
 
 func readSettings(root yamldoc.Node) *Settings {
 	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "retry", "stop", "contact_loss", "address_ttl", "log")
-	listen := m.Need("listen").Map("caller", "ready", "directory", "metrics")
+	listen := m.Need("listen").Map("caller", "ready", "directory", "admin")
 	processor := m.Get("processor").Map("share", "cores")
 	retry := m.Get("retry").Map("ratio", "slack")
 	s := &Settings{
@@ -105,7 +113,7 @@
 		Regions:       map[string]string{},
 		Listen: ListenSettings{
 			Caller: listen.Need("caller").Address(), Ready: listen.Need("ready").Address(),
-			Directory: listen.Need("directory").Address(), Metrics: listen.Get("metrics").Address(),
+			Directory: listen.Need("directory").Address(), Admin: listen.Get("admin").Address(),
 		},
 		PeerPort:     uint16(m.Need("peer_port").Int(0, 1, maxPort)),
 		StoreAddress: m.Need("store").Address(),
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -8,6 +8,7 @@
 	EdgeStopStarted      ID = 1701
 	EdgeStopped          ID = 1702
 	EdgeSettingsRead     ID = 1703
+	EdgeSettingsInvalid  ID = 1704
 	EdgeAnswered         ID = 1710
 	EdgePartial          ID = 1711
 	EdgeRefused          ID = 1712
@@ -35,7 +36,8 @@
 	{EdgeStarted, "edge_started", log.InfoLevel, "An edge daemon started; version is that of the build."},
 	{EdgeStopStarted, "edge_stop_started", log.InfoLevel, "The graceful shutdown started; open is the number of requests without an answer."},
 	{EdgeStopped, "edge_stopped", log.InfoLevel, "The daemon ends; open requests were cut off if there are any."},
-	{EdgeSettingsRead, "edge_settings_read", log.InfoLevel, "The settings file was read anew after a signal; changes take effect at the next start."},
+	{EdgeSettingsRead, "edge_settings_read", log.InfoLevel, "The settings file was read anew. Retry budget, contact loss and seeds take effect at once, other changes at the next start."},
+	{EdgeSettingsInvalid, "edge_settings_invalid", log.ErrorLevel, "The settings file has changed and cannot be used; the settings in use stay."},
 	{EdgeAnswered, "edge_answered", log.InfoLevel, "A request was answered; calls, hedges and retries count its attempts at leafs."},
 	{EdgePartial, "edge_partial", log.InfoLevel, "A query over shards was answered without some of them; why lists service, reason and leaf of each."},
 	{EdgeRefused, "edge_refused", log.WarnLevel, "A request got no answer of a leaf, or a leaf's failure; outcome is the reason."},
