--- a/pkg/core/query/throttle.go
+++ b/pkg/core/query/throttle.go
@@ -28,16 +28,25 @@
 	// queue is the queue time in nanoseconds; it halves in waitHalfLife.
 	queue float64
 	at    model.Time
+	// last is the queue time of the query before; it fades like queue.
+	last float64
 }
 
-func (t *throttle) expected(now model.Time) float64 {
-	return t.queue * math.Exp2(-float64(now.Sub(t.at))/float64(waitHalfLife))
+func (t *throttle) expected(now model.Time) float64 { return t.queue * t.left(now) }
+
+// left is the part of what is known that has not faded.
+func (t *throttle) left(now model.Time) float64 {
+	return math.Exp2(-float64(now.Sub(t.at)) / float64(waitHalfLife))
 }
 
-// observe takes the queue time that a query met.
+// observe takes the queue time that a query met. The lesser of it and the one
+// before counts, so that a single long queue, as after a stall of the
+// processor, refuses nothing.
 func (t *throttle) observe(now model.Time, queue time.Duration) {
+	sample := min(float64(queue), t.last*t.left(now))
 	t.queue = t.expected(now)
-	t.queue += queueWeight * (float64(queue) - t.queue)
+	t.queue += queueWeight * (sample - t.queue)
+	t.last = float64(queue)
 	t.at = now
 }
 
--- a/pkg/core/query/throttle_test.go
+++ b/pkg/core/query/throttle_test.go
@@ -79,3 +79,16 @@
 		t.Errorf("%d of 400 queries went to the replica with twice the time, want about 80", a)
 	}
 }
+
+// Guards against queries that are refused because a single one met long queues,
+// as after a stall of the processor.
+func TestThrottleSingleSample(t *testing.T) {
+	for _, before := range []int{0, 20} {
+		h := newHarness(t, 5)
+		runQueued(h, before, func(model.ShardName) time.Duration { return 0 })
+		runQueued(h, 1, func(model.ShardName) time.Duration { return time.Second })
+		if n := runQueued(h, 100, func(model.ShardName) time.Duration { return 0 }); n > 0 {
+			t.Errorf("%d of 100 queries refused after one long queue, %d queries before it", n, before)
+		}
+	}
+}
