Large fleets: news of active daemons first, compressed views, near daemons first

Relays now tell of active daemons first, a list after a lost history goes on from the state before, views are compressed and fetched from the own failure domain if it has news.

--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -111,11 +111,23 @@
 
 // chooseActive finds this daemon's share of what all daemons together may do:
 // retries, connections to a leaf, requests to a cold leaf.
-func (s *State) chooseActive() { s.members.share = s.shareOf(s.opt.Self.Name) }
+func (s *State) chooseActive() {
+	active := s.active(nil)
+	s.members.share = s.shareOf(s.opt.Self.Name, active)
+	names := make(map[string]bool, len(active))
+	for _, e := range active {
+		names[e.Name] = true
+	}
+	for name, d := range s.daemons {
+		if names[name] && !d.active {
+			d.activeSince = s.now
+		}
+		d.active = names[name]
+	}
+}
 
-func (s *State) shareOf(name string) float64 {
+func (s *State) shareOf(name string, active []DaemonEntry) float64 {
 	known := len(s.daemons) + 1
-	active := s.active(nil)
 	// A daemon that hears only a few others is cut off and must not take their
 	// shares too.
 	count := max(len(active), min(minActive, known))
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -22,8 +22,13 @@
 	gossipNear = 2
 	gossipFar  = 1
 	// gossipEntries is the number of other daemons that a message tells about in
-	// larger fleets.
-	gossipEntries = 24
+	// larger fleets, the active ones first.
+	gossipEntries = 18
+	// largeGossipInterval is gossipInterval in larger fleets.
+	largeGossipInterval = 500 * time.Millisecond
+	// reserveSilence is how long a daemon of a larger fleet that callers are not
+	// sent to may be silent: news of it are passed on seldom.
+	reserveSilence = 15 * time.Second
 	// relaySilence is added to the silence that is borne in larger fleets, where
 	// news come over others.
 	relaySilence = 1500 * time.Millisecond
@@ -96,7 +101,11 @@
 	heardAt model.Time
 	listed  bool
 	since   model.Time
-	silent  bool
+	// silent means that it was found silent and not heard since.
+	silent bool
+	// active means that callers are sent to it, since activeSince.
+	active      bool
+	activeSince model.Time
 }
 
 type memberState struct {
@@ -245,10 +254,16 @@
 
 func (s *State) alive(d *daemon) bool {
 	silence := s.opt.Silence
-	if s.largeFleet() {
+	since := d.heardAt
+	switch {
+	case !s.largeFleet():
+	case d.active:
 		silence += relaySilence
+		since = max(since, d.activeSince)
+	default:
+		silence = reserveSilence
 	}
-	return d.heardAt > 0 && s.now.Sub(d.heardAt) < silence
+	return d.heardAt > 0 && !d.silent && s.now.Sub(since) < silence
 }
 
 // largeFleet reports whether messages go to a few daemons at a time.
@@ -270,6 +285,9 @@
 	s.members.changed = false
 	s.members.lastGossip = s.now
 	s.members.gossipAt = s.now.Add(gossipInterval)
+	if s.largeFleet() {
+		s.members.gossipAt = s.now.Add(largeGossipInterval)
+	}
 	s.members.counter++
 	s.measureCalls()
 	s.noteSilent()
@@ -351,11 +369,14 @@
 			known = append(known, d)
 		}
 	}
-	slices.SortFunc(known, func(a, b *daemon) int {
-		if c := cmp.Compare(b.heardAt, a.heardAt); c != 0 {
-			return c
+	first := func(d *daemon) int {
+		if d.active {
+			return 0
 		}
-		return strings.Compare(a.Name, b.Name)
+		return 1
+	}
+	slices.SortFunc(known, func(a, b *daemon) int {
+		return cmp.Or(cmp.Compare(first(a), first(b)), cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
 	})
 	out := []DaemonEntry{s.self()}
 	for _, d := range known[:min(len(known), gossipEntries)] {
@@ -410,8 +431,8 @@
 	}
 }
 
-// betterView reports whether a daemon's view is newer than another's, or as new
-// and nearer.
+// betterView reports whether a daemon's view is the better one to fetch, of two
+// that are newer than the own: the nearer, then the newer.
 func (s *State) betterView(a, b *daemon) bool {
 	near := func(d *daemon) int {
 		if d.FailureDomain == s.opt.Self.FailureDomain {
@@ -420,12 +441,12 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(a.ConfigVersion, b.ConfigVersion), cmp.Compare(a.ViewRevision, b.ViewRevision), cmp.Compare(near(a), near(b)),
+		cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion), cmp.Compare(a.ViewRevision, b.ViewRevision),
 	) > 0
 }
 
-// bestView returns the living daemon with the newest configuration, then the
-// newest list of leafs; nil if none has anything newer than this daemon.
+// bestView returns the living daemon whose view is best to fetch; nil if none
+// has anything newer than this daemon.
 func (s *State) bestView() *daemon {
 	var best *daemon
 	for _, name := range s.daemonNames() {
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -209,7 +210,7 @@
 		}
 		all := 0.0
 		for _, e := range w.s.readyDaemons() {
-			all += w.s.shareOf(e.Name)
+			all += w.s.shareOf(e.Name, w.s.active(nil))
 		}
 		if all > 1.001 || all < 0.999 {
 			t.Errorf("%d daemons: their shares sum up to %v", count, all)
@@ -236,7 +237,7 @@
 // Guards against a daemon that hears nobody and takes the shares of all.
 func TestShareOfDaemonThatIsCutOff(t *testing.T) {
 	w := fleet(t, 90)
-	w.pass(10 * time.Second)
+	w.pass(2 * reserveSilence)
 	if got := w.s.share(); got > activeShare/minActive {
 		t.Errorf("share %v", got)
 	}
@@ -282,3 +283,45 @@
 		t.Error("the view of another daemon is newer and is not fetched at once")
 	}
 }
+
+// Guards against a large fleet in which callers are sent to a daemon that is
+// gone, or active daemons change because news of others come seldom.
+func TestActiveDaemonsOfLargeFleet(t *testing.T) {
+	w := fleet(t, 300)
+	before := w.s.Directory("h", "")
+	counter := uint64(3)
+	for range 12 {
+		// Only the active daemons are heard often, as gossip prefers them.
+		var entries []DaemonEntry
+		for _, e := range w.s.active(nil) {
+			e.Counter = counter
+			entries = append(entries, e)
+		}
+		w.post(GossipReceived{Daemons: entries})
+		counter++
+		w.pass(500 * time.Millisecond)
+	}
+	if got := w.s.Directory("h", ""); !slices.Equal(got, before) {
+		t.Errorf("active daemons changed from %v to %v", before, got)
+	}
+	gone := w.s.active(nil)[3]
+	if gone.Name == w.s.opt.Self.Name {
+		gone = w.s.active(nil)[4]
+	}
+	for range 8 {
+		var entries []DaemonEntry
+		for _, e := range w.s.active(nil) {
+			if e.Name != gone.Name {
+				e.Counter = counter
+				entries = append(entries, e)
+			}
+		}
+		w.post(GossipReceived{Daemons: entries})
+		counter++
+		w.pass(500 * time.Millisecond)
+	}
+	// It must be gone 3 s after the contact loss, which Options.Silence is 0.4 of.
+	if got := w.s.Directory("h", ""); has(got, gone.CallerAddress) || len(got) < minActive {
+		t.Errorf("4 s after %s fell silent callers are sent to %v", gone.Name, got)
+	}
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
@@ -160,9 +162,23 @@
 			}
 		}
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(p.follower.View(have)); err != nil {
-			p.onError("", err)
+		if err := writeView(w, r, p.follower.View(have)); err != nil {
+			p.onError(r.RemoteAddr, err)
 		}
 	})
 	return mux
 }
+
+// writeView writes a view, compressed if the other daemon takes that, as
+// net/http clients do by default: names and keys repeat in configurations.
+func writeView(w http.ResponseWriter, r *http.Request, view View) error {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return json.NewEncoder(w).Encode(view)
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return fmt.Errorf("edge: compress view: %w", err)
+	}
+	return errors.Join(json.NewEncoder(z).Encode(view), z.Close())
+}
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -70,6 +70,12 @@
 	Server(name string, value json.RawMessage) (gateway.Server, error)
 }
 
+// Sources of what a follower knows, as they stand in log lines.
+const (
+	sourceStore  = "store"
+	sourceDaemon = "daemon"
+)
+
 const (
 	// watchFresh is the time within which one of the daemons that hear each other
 	// asks the store anew: a watch may be cut off without notice.
@@ -108,6 +114,8 @@
 	mu          sync.Mutex
 	view        map[Kind]Followed
 	lastFailure time.Time
+	// before are states whose history is gone until they are listed anew.
+	before map[Kind]Followed
 	// failing means that the last call failed, turn is closed and replaced when a
 	// loop that waits may go on.
 	failing  bool
@@ -139,7 +147,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		store: c.Store, decoder: c.Decoder, post: c.Post, setView: c.SetView, onBad: c.OnInvalid, rank: c.Rank,
-		view: map[Kind]Followed{}, turn: make(chan struct{}), waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{}, changed: map[Kind]bool{},
+		view: map[Kind]Followed{}, before: map[Kind]Followed{}, turn: make(chan struct{}), waiting: map[Kind]context.CancelFunc{}, refresh: map[Kind]bool{}, changed: map[Kind]bool{},
 	}
 }
 
@@ -183,7 +191,7 @@
 		return
 	}
 	f.note(true)
-	f.replace(kind, newFollowed(objects, revision), "store", f.afterOutage())
+	f.replace(kind, newFollowed(objects, revision), sourceStore, f.afterOutage())
 }
 
 // awaitTurn waits until the kind is to be asked for at the store. While calls
@@ -256,7 +264,7 @@
 		return err
 	}
 	f.note(true)
-	f.apply(kind, changes, revision, "store", f.afterOutage())
+	f.apply(kind, changes, revision, sourceStore, f.afterOutage())
 	return nil
 }
 
@@ -306,7 +314,7 @@
 		return err
 	}
 	f.note(true)
-	f.replace(kind, newFollowed(objects, revision), "store", f.afterOutage())
+	f.replace(kind, newFollowed(objects, revision), sourceStore, f.afterOutage())
 	return nil
 }
 
@@ -314,6 +322,7 @@
 func (f *Follower) forget(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.before[kind] = f.view[kind]
 	delete(f.view, kind)
 }
 
@@ -382,7 +391,7 @@
 			f.applyFollowed(kind, theirs, v.AfterOutage)
 			continue
 		}
-		f.replace(kind, theirs.clone(), "daemon", v.AfterOutage)
+		f.replace(kind, theirs.clone(), sourceDaemon, v.AfterOutage)
 	}
 }
 
@@ -395,16 +404,21 @@
 	for name, revision := range theirs.Deleted {
 		changes = append(changes, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
 	}
-	f.apply(kind, changes, theirs.Revision, "daemon", outage)
+	f.apply(kind, changes, theirs.Revision, sourceDaemon, outage)
 }
 
 // replace takes over the whole state of a kind if it is newer than the known one.
 func (f *Follower) replace(kind Kind, next Followed, source string, outage bool) {
 	f.mu.Lock()
-	if known, ok := f.view[kind]; ok && known.Revision >= next.Revision {
+	known, ok := f.view[kind]
+	if ok && known.Revision >= next.Revision {
 		f.mu.Unlock()
 		return
 	}
+	if old, had := f.before[kind]; had && source == sourceStore {
+		next.follows(old)
+		delete(f.before, kind)
+	}
 	f.view[kind] = next
 	f.changed[kind] = true
 	f.mu.Unlock()
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -19,9 +19,10 @@
 	revision uint64
 	objects  map[string]Object
 	changes  []Change
-	gone     bool
-	down     bool
-	calls    int
+	// gone are the kinds whose next watch finds its history gone.
+	gone  map[Kind]bool
+	down  bool
+	calls int
 	// silent makes watches wait for their context to end.
 	silent bool
 }
@@ -59,14 +60,14 @@
 }
 
 // Watch implements Store.
-func (s *fakeStore) Watch(ctx context.Context, _ Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
-		down, gone, silent := s.down, s.gone, s.silent
+		down, gone, silent := s.down, s.gone[kind], s.silent
 		var out []Change
 		for _, c := range s.changes {
 			if c.Object.Revision > since {
@@ -74,7 +75,7 @@
 			}
 		}
 		revision := s.revision
-		s.gone = false
+		delete(s.gone, kind)
 		s.mu.Unlock()
 		switch {
 		case down, ctx.Err() != nil:
@@ -204,7 +205,7 @@
 	s.put("b", `"bad"`)
 	f.await(t, time.Second, "[]")
 	s.mu.Lock()
-	s.gone, s.changes = true, nil
+	s.gone, s.changes = map[Kind]bool{KindServers: true}, nil
 	s.mu.Unlock()
 	s.put("d", "1")
 	f.await(t, 2*time.Second, "[d]")
@@ -317,3 +318,25 @@
 		t.Error("changes are passed on though deletions were dropped")
 	}
 }
+
+// Guards against whole states being passed on again and again after the store
+// dropped its history, and against deletions in between that others miss.
+func TestListAfterHistoryIsGone(t *testing.T) {
+	s := newFakeStore()
+	f := newFollowerOf(s)
+	f.SetWatching(true)
+	follow(t, f)
+	f.await(t, time.Second, "[a]")
+	have := f.Revisions()
+	s.put("b", "1")
+	s.remove("a")
+	s.mu.Lock()
+	s.gone, s.changes = map[Kind]bool{KindServers: true}, nil
+	s.mu.Unlock()
+	s.put("c", "1")
+	f.await(t, 2*time.Second, "[b c]")
+	view := f.View(have).Kinds[KindServers]
+	if _, ok := view.Deleted["a"]; !ok || len(view.Objects) != 2 || view.Since > have[KindServers] {
+		t.Errorf("passed on: %+v", view)
+	}
+}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -78,3 +78,19 @@
 	}
 	return out, true
 }
+
+// follows makes a newly listed state go on from the one known before: objects
+// that are missing were deleted in between.
+func (f *Followed) follows(old Followed) {
+	f.Since = old.Since
+	f.Deleted = maps.Clone(old.Deleted)
+	for name := range f.Objects {
+		delete(f.Deleted, name)
+	}
+	for name := range old.Objects {
+		if _, ok := f.Objects[name]; !ok {
+			f.Deleted[name] = f.Revision
+			f.Changed = max(f.Changed, f.Revision)
+		}
+	}
+}
