A fault soak of the edge daemons; the same events give the same effects

The soak runs daemons as processes under faults that overlap, drawn from a seed. TestSameEventsGiveSameEffects: leafs were dropped and failure domains returned in the order of a map. Services that no configuration names any more are forgotten.

--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -173,8 +173,12 @@
 	s.emit(Log{Kind: LogConfigApplied, Detail: e.Source, Number: int64(e.Config.Version)})
 	s.emit(ApplyLimits{Limits: e.Config.Limits})
 	s.dropRoutes()
-	for _, svc := range s.services {
-		svc.configure(e.Config.Services[svc.name])
+	for name, svc := range s.services {
+		c, ok := e.Config.Services[name]
+		svc.configure(c)
+		if !ok && len(svc.servers) == 0 && len(svc.queue) == 0 {
+			delete(s.services, name)
+		}
 	}
 	s.members.changed = true
 }
--- a/pkg/core/gateway/gateway_test.go
+++ b/pkg/core/gateway/gateway_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -433,3 +436,49 @@
 		}
 	}
 }
+
+// Guards against effects that depend on the order of a map: the same events must
+// give the same effects, so that a recorded stream can be replayed.
+func TestSameEventsGiveSameEffects(t *testing.T) {
+	run := func() string {
+		w := newWorld(t)
+		var out strings.Builder
+		post := func(e Event) {
+			for _, effect := range w.s.Step(w.now, e) {
+				if send, ok := effect.(SendCall); ok {
+					w.s.BeginCall(send.Call)
+				}
+				text, err := json.Marshal(effect)
+				if err != nil {
+					t.Fatal(err)
+				}
+				fmt.Fprintf(&out, "%T %s\n", effect, text)
+			}
+			w.now += 1000
+		}
+		services := names("s", 6)
+		post(ConfigSeen{Config: &Config{Version: 1, Routes: []*Route{scatter("/a/", 0.3, services...)}, Services: map[string]ServiceConfig{}}})
+		var all []Server
+		for i := range 30 {
+			all = append(all, Server{ID: fmt.Sprint("i", i), Service: services[i%6], Slots: 2, FailureDomain: []string{"a", "b", "c"}[i%3]})
+		}
+		post(ServersListed{Servers: all})
+		for i := range 20 {
+			post(GossipReceived{Daemons: []DaemonEntry{peerEntry(fmt.Sprint("d", i%5), uint64(i), DaemonReady)}})
+			post(RequestArrived{Query: QueryID(i), Host: "h", Path: "/a/", Wait: time.Second})
+			post(CallDone{Call: CallID(3 * i), Outcome: Outcome(i % 6)})
+		}
+		post(EvacuationsListed{FailureDomains: []string{"a", "b"}})
+		post(EvacuationsListed{})
+		post(ServersListed{AfterOutage: true})
+		w.now = w.now.Add(3 * time.Second)
+		post(Tick{})
+		return out.String()
+	}
+	first := run()
+	for range 5 {
+		if again := run(); again != first {
+			t.Fatalf("effects differ:\n%s\n%s", first, again)
+		}
+	}
+}
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -81,7 +83,7 @@
 		listed[srv.ID] = true
 		s.serverChanged(srv)
 	}
-	for id := range s.servers {
+	for _, id := range s.serverIDs() {
 		if !listed[id] {
 			s.serverRemoved(ServerRemoved{ID: id, AfterOutage: e.AfterOutage})
 		}
@@ -152,13 +154,17 @@
 	if s.lapsed == 0 {
 		return
 	}
-	for _, srv := range s.servers {
-		if srv.lapsed && s.now.Sub(srv.lapsedAt) >= lapseHold {
+	for _, id := range s.serverIDs() {
+		if srv := s.servers[id]; srv.lapsed && s.now.Sub(srv.lapsedAt) >= lapseHold {
 			s.dropServer(srv, "lapsed")
 		}
 	}
 }
 
+// serverIDs returns the ids of all leafs in order, so that effects do not depend
+// on the order of a map.
+func (s *State) serverIDs() []string { return slices.Sorted(maps.Keys(s.servers)) }
+
 // dropServer forgets a leaf; its attempts go on.
 func (s *State) dropServer(srv *server, why string) {
 	if srv.lapsed {
@@ -179,7 +185,7 @@
 			s.emit(Log{Kind: LogDomainEvacuated, Subject: d})
 		}
 	}
-	for d := range s.evacuated {
+	for _, d := range slices.Sorted(maps.Keys(s.evacuated)) {
 		if !next[d] {
 			s.emit(Log{Kind: LogDomainReturned, Subject: d})
 			s.chillDomain(d)
@@ -191,8 +197,8 @@
 // chillDomain treats the leafs of a domain that was evacuated as cold, since
 // they may have lost their warmth before their entries say so.
 func (s *State) chillDomain(domain string) {
-	for _, srv := range s.servers {
-		if srv.FailureDomain == domain {
+	for _, id := range s.serverIDs() {
+		if srv := s.servers[id]; srv.FailureDomain == domain {
 			s.chill(srv, srv.svc.config.WarmUp+coldMargin)
 		}
 	}
--- /dev/null
+++ b/test/soak/site_test.go
@@ -0,0 +1,267 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/standin/leaf"
+	"github.com/pistachiousher/pistachiousher/standin/objects"
+)
+
+const (
+	host = "parish.example"
+	// contact is the calm after which the promises with a time bound hold again.
+	contact = 4 * time.Second
+	// applyBound is how long a configuration or a drain may take to be in force.
+	applyBound = 3 * time.Second
+	// settle is the calm at the end of a soak, in which service must be back.
+	settle = 6 * time.Second
+	// stopTime is the daemons' longest graceful shutdown.
+	stopTime = 4 * time.Second
+)
+
+// layouts are the two sets of shards that configurations name by turns.
+var layouts = [][]string{{"s0", "s1", "s2", "s3"}, {"t0", "t1", "t2", "t3", "t4", "t5"}}
+
+// disturbance is a time in which something does not keep time bounds.
+type disturbance struct {
+	begin, end time.Time
+	planned    bool
+}
+
+// site is a store, leafs and daemon processes on loopback.
+type site struct {
+	t      *testing.T
+	dir    string
+	store  *objects.Store
+	server *httptest.Server
+
+	mu        sync.Mutex
+	daemons   []*daemon
+	leafs     []*leaf.Leaf
+	shardOf   map[string]string
+	drainedAt map[string]time.Time
+	storeOut  []disturbance
+	versions  []version
+}
+
+// version is a configuration that was acknowledged.
+type version struct {
+	number int
+	layout int
+	at     time.Time
+}
+
+type daemon struct {
+	name     string
+	settings string
+	log      *os.File
+	caller   string
+	// directory and ready are addresses of the daemon.
+	directory, ready string
+
+	// busy is held while a step changes the process.
+	busy      sync.Mutex
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	disturbed []disturbance
+}
+
+func newSite(t *testing.T, daemons int) *site {
+	t.Helper()
+	s := &site{t: t, dir: t.TempDir(), store: objects.New(), shardOf: map[string]string{}, drainedAt: map[string]time.Time{}}
+	s.server = httptest.NewServer(s.store)
+	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close() })
+	for _, layout := range layouts {
+		for _, shard := range layout {
+			for range 2 {
+				s.addLeaf(shard)
+			}
+		}
+	}
+	for range 3 {
+		s.addLeaf("orders")
+	}
+	s.configure(0)
+	peer := freePort(t, "127.0.0.1")
+	for i := range daemons {
+		s.addDaemon(i, peer)
+	}
+	return s
+}
+
+// addLeaf starts a leaf; the record that it answers with names its shard.
+func (s *site) addLeaf(shard string) *leaf.Leaf {
+	s.mu.Lock()
+	id := fmt.Sprintf("i-%d", len(s.leafs))
+	s.mu.Unlock()
+	l := leaf.Start(id, normal(shard))
+	s.t.Cleanup(l.Close)
+	s.mu.Lock()
+	s.leafs = append(s.leafs, l)
+	s.shardOf[id] = shard
+	s.mu.Unlock()
+	s.register(l, shard, "ready")
+	return l
+}
+
+func normal(shard string) leaf.Behavior {
+	return leaf.Behavior{Work: 5 * time.Millisecond, Body: []byte(recordOf(shard))}
+}
+
+// recordOf is the record of 16 bytes that the leafs of a shard answer with.
+func recordOf(shard string) string { return fmt.Sprintf("%-16s", shard) }
+
+func (s *site) register(l *leaf.Leaf, service, state string) {
+	s.store.Put("servers", l.ID, map[string]any{
+		"backend": service, "address": l.Address(), "zone": "a", "version": "v1", "slots": 4, "state": state, "warmupLeftMs": 0, "sequence": 1,
+	})
+}
+
+// configure writes the next version, with the given set of shards, and notes
+// when it was acknowledged.
+func (s *site) configure(layout int) {
+	s.mu.Lock()
+	number := len(s.versions) + 1
+	s.mu.Unlock()
+	common := map[string]any{"host": host, "timeoutMs": 1500, "targetLatencyMs": 150, "priority": 1, "maxAttempts": 2}
+	route := func(name, prefix string, more map[string]any) map[string]any {
+		r := map[string]any{"name": name, "pathPrefix": prefix}
+		for _, m := range []map[string]any{common, more} {
+			for k, v := range m {
+				r[k] = v
+			}
+		}
+		return r
+	}
+	var backends []map[string]any
+	for _, name := range append(append([]string{"orders"}, layouts[0]...), layouts[1]...) {
+		backends = append(backends, map[string]any{"name": name, "maxConnections": 40})
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": number, "backends": backends,
+		"limits": map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 3000},
+		"routes": []map[string]any{
+			route("all", "/all/", map[string]any{"kind": "safe", "shards": layouts[layout], "topK": 3, "minShardRatio": 0.5}),
+			route("order", "/order/", map[string]any{"kind": "unsafe", "backend": "orders"}),
+			route("probe", fmt.Sprintf("/v%d/", number), map[string]any{"kind": "safe", "backend": "orders"}),
+		},
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = append(s.versions, version{number, layout, time.Now()})
+}
+
+func (s *site) addDaemon(i, peer int) {
+	ip := fmt.Sprintf("127.0.0.%d", i+1)
+	d := &daemon{name: fmt.Sprintf("edge-%d", i)}
+	d.caller = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
+	d.directory = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
+	d.ready = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
+	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"127.0.0.1:1\", \"127.0.0.2:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
+		d.name, d.caller, d.ready, d.directory, peer, s.server.Listener.Addr(), stopTime)
+	d.settings = filepath.Join(s.dir, d.name+".yaml")
+	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	log, err := os.Create(filepath.Join(s.dir, d.name+".log"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	d.log = log
+	s.daemons = append(s.daemons, d)
+	d.start(s.t)
+	s.t.Cleanup(func() {
+		d.signal(syscall.SIGCONT)
+		d.signal(syscall.SIGKILL)
+		log.Close()
+	})
+}
+
+func (d *daemon) start(t *testing.T) {
+	cmd := exec.Command(program, "-settings", d.settings)
+	cmd.Stdout, cmd.Stderr = d.log, d.log
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		t.Error(err)
+		return
+	}
+	d.cmd = cmd
+}
+
+func (d *daemon) signal(s syscall.Signal) {
+	d.mu.Lock()
+	cmd := d.cmd
+	d.mu.Unlock()
+	// A process that has ended needs no signal.
+	_ = cmd.Process.Signal(s)
+}
+
+// wait waits for the end of the process that runs now.
+func (d *daemon) wait() {
+	d.mu.Lock()
+	cmd := d.cmd
+	d.mu.Unlock()
+	_ = cmd.Wait()
+}
+
+// disturb notes a time in which the daemon does not keep time bounds. The
+// returned function ends it.
+func (d *daemon) disturb(planned bool) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := len(d.disturbed)
+	d.disturbed = append(d.disturbed, disturbance{begin: time.Now(), planned: planned})
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.disturbed[i].end = time.Now()
+	}
+}
+
+// calm reports whether nothing disturbed the daemon from contact before begin
+// until end; planned stops count if withPlanned is set.
+func (d *daemon) calm(begin, end time.Time, withPlanned bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return calm(d.disturbed, begin, end, withPlanned)
+}
+
+func calm(list []disturbance, begin, end time.Time, withPlanned bool) bool {
+	for _, x := range list {
+		if x.planned && !withPlanned {
+			continue
+		}
+		over := !x.end.IsZero() && x.end.Add(contact).Before(begin)
+		if !over && x.begin.Before(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// storeCalm reports whether the store kept time bounds.
+func (s *site) storeCalm(begin, end time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return calm(s.storeOut, begin, end, true)
+}
+
+func freePort(t *testing.T, ip string) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,330 @@
+// Package soak runs the edge daemons as processes under random faults and
+// checks the promises of the docs from what callers and leafs see.
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/standin/leaf"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 1, "first seed")
+	seeds     = flag.Int("seeds", 2, "number of seeds")
+	length    = flag.Duration("length", 14*time.Second, "length of a soak")
+	// program is the daemon.
+	program string
+)
+
+const (
+	daemons = 4
+	clients = 8
+	// grace covers the time between what the soak notes and what a process sees.
+	grace = 300 * time.Millisecond
+	// backShare is the share of requests that must be served when all is calm.
+	backShare = 0.95
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if testing.Short() {
+		os.Exit(m.Run())
+	}
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program = filepath.Join(dir, "pistachiousher-edge")
+	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/pistachiousher/pistachiousher/cmd/pistachiousher-edge")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Guards against promises that are broken when faults overlap.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes")
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	s := newSite(t, daemons)
+	plan := newPlan(seed, *length, daemons, len(s.leafs))
+	for _, x := range plan {
+		t.Log(x)
+	}
+	s.awaitReady(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &callers{site: s}
+	var running, faults sync.WaitGroup
+	for i := range clients {
+		running.Go(func() { c.run(ctx, i) })
+	}
+	begin := time.Now()
+	for _, x := range plan {
+		time.Sleep(time.Until(begin.Add(x.at)))
+		faults.Go(func() { s.play(x) })
+	}
+	faults.Wait()
+	time.Sleep(time.Until(begin.Add(*length)))
+	// No calmer than settle after the last fault, whose length is drawn.
+	calmAt := time.Now()
+	time.Sleep(settle)
+	end := time.Now()
+	s.checkVersions(t, end)
+	cancel()
+	running.Wait()
+	s.judge(t, c.all, calmAt.Add(settle/2))
+	if t.Failed() {
+		s.keepLogs(t, seed)
+	}
+}
+
+func (s *site) awaitReady(t *testing.T) {
+	t.Helper()
+	for _, d := range s.daemons {
+		for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			resp, err := http.Get("http://" + d.ready + "/api/readyz")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s is not ready after 5 s", d.name)
+			}
+		}
+	}
+}
+
+// play carries a step out and undoes it after its length.
+func (s *site) play(x step) {
+	switch x.kind {
+	case "kill", "terminate", "pause":
+		s.playDaemon(x)
+	case "store-down":
+		done := s.storeDisturbed()
+		s.store.SetDown(true)
+		time.Sleep(x.length)
+		s.store.SetDown(false)
+		done()
+	case "store-compact":
+		done := s.storeDisturbed()
+		s.store.Compact()
+		done()
+	case "configure", "reshard":
+		s.mu.Lock()
+		layout := s.versions[len(s.versions)-1].layout
+		s.mu.Unlock()
+		if x.kind == "reshard" {
+			layout = 1 - layout
+		}
+		s.configure(layout)
+	default:
+		s.playLeaf(x)
+	}
+}
+
+func (s *site) playDaemon(x step) {
+	d := s.daemons[x.target]
+	if !d.busy.TryLock() {
+		return
+	}
+	defer d.busy.Unlock()
+	done := d.disturb(x.kind == "terminate")
+	defer done()
+	switch x.kind {
+	case "kill":
+		d.signal(syscall.SIGKILL)
+		d.wait()
+		time.Sleep(x.length)
+		d.start(s.t)
+	case "terminate":
+		d.signal(syscall.SIGTERM)
+		kill := time.AfterFunc(stopTime+time.Second, func() {
+			s.t.Errorf("%s: no end within %v of SIGTERM", d.name, stopTime+time.Second)
+			d.signal(syscall.SIGKILL)
+		})
+		d.wait()
+		kill.Stop()
+		d.start(s.t)
+	case "pause":
+		d.signal(syscall.SIGSTOP)
+		time.Sleep(x.length)
+		d.signal(syscall.SIGCONT)
+	}
+}
+
+func (s *site) playLeaf(x step) {
+	s.mu.Lock()
+	l := s.leafs[x.target]
+	shard := s.shardOf[l.ID]
+	_, drained := s.drainedAt[l.ID]
+	s.mu.Unlock()
+	b := normal(shard)
+	switch x.kind {
+	case "drain-leaf":
+		if !drained {
+			s.drainLeaf(l, shard)
+		}
+		return
+	case "leaf-loses":
+		b.Lose = true
+	case "leaf-sheds":
+		b.Shed = true
+	case "leaf-slow":
+		b.Work = 400 * time.Millisecond
+	case "leaf-fails":
+		b.Fail = true
+	case "leaf-extra":
+		b.Extra = true
+	}
+	l.Set(b)
+	time.Sleep(x.length)
+	l.Set(normal(shard))
+}
+
+// drainLeaf replaces a leaf: the new one starts first, the old one drains.
+func (s *site) drainLeaf(l *leaf.Leaf, shard string) {
+	s.addLeaf(shard)
+	s.register(l, shard, "draining")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainedAt[l.ID] = time.Now()
+}
+
+func (s *site) storeDisturbed() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := len(s.storeOut)
+	s.storeOut = append(s.storeOut, disturbance{begin: time.Now()})
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.storeOut[i].end = time.Now()
+	}
+}
+
+// checkVersions asks each daemon, now that all is calm, for a route that only
+// the newest version has.
+func (s *site) checkVersions(t *testing.T, now time.Time) {
+	t.Helper()
+	newest := s.versions[len(s.versions)-1]
+	for _, d := range s.daemons {
+		if !d.calm(now, now, true) || !s.storeCalm(now, now) {
+			continue
+		}
+		o := (&callers{site: s}).probe(d, fmt.Sprintf("/v%d/x", newest.number))
+		if o.status != http.StatusOK {
+			t.Errorf("CONFIG: %s answers %d for a route of version %d, acknowledged %v ago", d.name, o.status, newest.number, now.Sub(newest.at))
+		}
+	}
+}
+
+// judge checks the promises.
+func (s *site) judge(t *testing.T, all []outcome, calmFrom time.Time) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, l := range s.leafs {
+		for _, r := range l.Ran() {
+			ran[r.RequestID]++
+		}
+		at, drained := s.drainedAt[l.ID]
+		for _, r := range l.Arrivals() {
+			if drained && r.At.After(at.Add(applyBound)) && s.storeCalm(at, r.At) && s.allCalm(at, r.At) {
+				t.Errorf("DRAIN: %s got request %s %v after it was drained", l.ID, r.RequestID, r.At.Sub(at))
+			}
+		}
+	}
+	calm, served := 0, 0
+	for _, o := range all {
+		switch {
+		case o.unsafe && ran[o.id] > 1:
+			t.Errorf("TWICE: %s ran %d times", o.id, ran[o.id])
+		case (o.status == 503 || o.status == 429) && ran[o.id] > 0:
+			t.Errorf("REFUSED: %s was refused with %d and ran", o.id, o.status)
+		case o.status == 200 && o.unsafe && o.header.Get("X-Pistachiousher-Request-Id") != o.id:
+			t.Errorf("MIXED: %s got the answer to %s", o.id, o.header.Get("X-Pistachiousher-Request-Id"))
+		case o.status == 200 && !o.unsafe:
+			if wrong := s.checkMerged(o); wrong != "" {
+				t.Errorf("MIXED: %s: %s", o.id, wrong)
+			}
+		case o.status == 0 && !o.refused && ran[o.id] > 0 && o.daemon.calm(o.begin, o.end, false) && !o.lateAtStop():
+			t.Errorf("LOST: %s ran and its connection to %s ended without an answer", o.id, o.daemon.name)
+		}
+		if o.begin.After(calmFrom) {
+			calm++
+			if o.status == 200 {
+				served++
+			}
+		}
+	}
+	t.Logf("%d requests, %d of %d served when calm", len(all), served, calm)
+	if calm == 0 || float64(served) < backShare*float64(calm) {
+		t.Errorf("RECOVER: %d of %d requests served when all is calm", served, calm)
+	}
+}
+
+// allCalm reports whether no daemon was disturbed.
+func (s *site) allCalm(begin, end time.Time) bool {
+	for _, d := range s.daemons {
+		if !d.calm(begin, end, true) {
+			return false
+		}
+	}
+	return true
+}
+
+// lateAtStop reports whether the request was sent to a daemon so late in its
+// stop that it may be cut off.
+func (o *outcome) lateAtStop() bool {
+	o.daemon.mu.Lock()
+	defer o.daemon.mu.Unlock()
+	for _, x := range o.daemon.disturbed {
+		if x.planned && o.begin.After(x.begin.Add(stopTime-time.Second)) && (x.end.IsZero() || o.begin.Before(x.end.Add(grace))) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepLogs keeps the daemons' logs of a failed seed.
+func (s *site) keepLogs(t *testing.T, seed uint64) {
+	t.Helper()
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Error(err)
+		return
+	}
+	for _, d := range s.daemons {
+		data, err := os.ReadFile(d.log.Name())
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, d.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("logs are in %s; again: go test ./test/soak -run Soak -seed %d -seeds 1", dir, seed)
+}
