--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -108,7 +108,9 @@
 }
 
 func (c *callers) send(client *http.Client, method, path, address string, o *outcome) {
-	req, err := http.NewRequest(method, "http://"+address+path, nil)
+	// A body that cannot be read twice keeps net/http from sending a request again
+	// by itself.
+	req, err := http.NewRequest(method, "http://"+address+path, io.NopCloser(strings.NewReader("x")))
 	if err != nil {
 		panic(err)
 	}
