--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -59,7 +59,7 @@
 				addresses = nil
 			}
 		}
-		time.Sleep(time.Duration(10+r.IntN(30)) * time.Millisecond)
+		time.Sleep(time.Duration(5+r.IntN(15)) * time.Millisecond)
 	}
 }
 
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -31,6 +31,10 @@
 		s.target = r.IntN(daemons)
 		if strings.Contains(s.kind, "leaf") {
 			s.target = r.IntN(leafs)
+			if r.IntN(2) == 0 {
+				// The last leafs run requests that are not idempotent.
+				s.target = leafs - 1 - r.IntN(orderLeafs)
+			}
 		}
 		plan = append(plan, s)
 	}
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -18,6 +18,11 @@
 
 const (
 	host = "parish.example"
+	// orderLeafs is the number of leafs that run orders, which are not idempotent.
+	orderLeafs = 3
+	// work is how long a leaf takes: long enough for requests to be open at each
+	// moment.
+	work = 25 * time.Millisecond
 	// contact is the calm after which the promises with a time bound hold again.
 	contact = 4 * time.Second
 	// applyBound is how long a configuration or a drain may take to be in force.
@@ -87,7 +92,7 @@
 			}
 		}
 	}
-	for range 3 {
+	for range orderLeafs {
 		s.addLeaf("orders")
 	}
 	s.configure(0)
@@ -114,7 +119,7 @@
 }
 
 func normal(shard string) leaf.Behavior {
-	return leaf.Behavior{Work: 5 * time.Millisecond, Body: []byte(recordOf(shard))}
+	return leaf.Behavior{Work: work, Body: []byte(recordOf(shard))}
 }
 
 // recordOf is the record of 16 bytes that the leafs of a shard answer with.
