--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -99,7 +99,11 @@
 type GossipReceived struct{ Daemons []DaemonEntry }
 
 // StoreReached tells whether the latest call to the store worked.
-type StoreReached struct{ OK bool }
+type StoreReached struct {
+	OK bool
+	// Cause is the error of a call that failed.
+	Cause string
+}
 
 // SettingsChanged are the settings that may change while a daemon runs.
 type SettingsChanged struct {
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -108,7 +108,7 @@
 	case GossipReceived:
 		s.gossipReceived(e)
 	case StoreReached:
-		s.storeReached(e.OK)
+		s.storeReached(e)
 	case SettingsChanged:
 		s.opt.RetryRatio, s.opt.RetrySlack = e.RetryRatio, e.RetrySlack
 		s.opt.Silence, s.opt.Seeds = e.Silence, e.Seeds
@@ -194,13 +194,14 @@
 	s.routes = keep
 }
 
-func (s *State) storeReached(ok bool) {
+func (s *State) storeReached(e StoreReached) {
+	ok := e.OK
 	switch {
 	case ok && s.storeDown:
 		s.emit(Log{Kind: LogStoreRegained, Age: s.now.Sub(s.storeDownSince)})
 	case !ok && !s.storeDown:
 		s.storeDownSince = s.now
-		s.emit(Log{Kind: LogStoreLost})
+		s.emit(Log{Kind: LogStoreLost, Detail: e.Cause})
 	}
 	s.storeDown = !ok
 	if ok {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -96,6 +96,7 @@
 			return err
 		}
 		if err != nil {
+			p.onError("", err)
 			continue
 		}
 		var message []gossipEntry
--- /dev/null
+++ b/pkg/edge/register.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+)
+
+// Register writes the daemon's own entry, until it is there or ctx ends.
+func (f *Follower) Register(ctx context.Context, entry gateway.DaemonEntry) error {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := f.register(ctx, entry)
+		if err == nil {
+			return nil
+		}
+		f.note(err)
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) register(ctx context.Context, entry gateway.DaemonEntry) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	old, err := f.store.Create(ctx, KindDaemons, entry.Name, entry)
+	if !errors.Is(err, ErrConflict) {
+		return err
+	}
+	var known gateway.DaemonEntry
+	if json.Unmarshal(old.Value, &known) == nil && known == entry {
+		return nil
+	}
+	return f.store.Replace(ctx, KindDaemons, old, entry)
+}
+
+// RemoveDaemon deletes the entry of a daemon in the background.
+func (f *Follower) RemoveDaemon(name string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+		defer cancel()
+		if err := f.store.Remove(ctx, KindDaemons, name); err != nil {
+			f.onBad(KindDaemons, name, err)
+		}
+	}()
+}
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -5,16 +5,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -172,38 +168,6 @@
 	d.log.Write(logevent.EdgePeerFailed, []logevent.Field{logevent.Str("peer", peer), logevent.Str("error", err.Error())})
 }
 
-type listeners struct {
-	caller, ready, directory, view, admin net.Listener
-	peer                                  *net.UDPConn
-}
-
-func listen(s *Settings) (*listeners, error) {
-	l := &listeners{}
-	peer := s.peerAddress(s.ip())
-	for _, x := range []struct {
-		at   *net.Listener
-		addr string
-	}{{&l.caller, s.Listen.Caller}, {&l.ready, s.Listen.Ready}, {&l.directory, s.Listen.Directory}, {&l.view, peer}, {&l.admin, s.Listen.Admin}} {
-		if x.addr == "" {
-			continue
-		}
-		ln, err := net.Listen("tcp", x.addr)
-		if err != nil {
-			return nil, fmt.Errorf("edged: listen: %w", err)
-		}
-		*x.at = ln
-	}
-	addr, err := net.ResolveUDPAddr("udp4", peer)
-	if err != nil {
-		return nil, fmt.Errorf("edged: listen: %w", err)
-	}
-	l.peer, err = net.ListenUDP("udp4", addr)
-	if err != nil {
-		return nil, fmt.Errorf("edged: listen: %w", err)
-	}
-	return l, nil
-}
-
 // addFollower adds the watches of the store and the daemon's registration.
 func (d *daemon) addFollower(ctx context.Context, cancel context.CancelFunc, g *run.Group) {
 	for _, kind := range edge.Kinds {
@@ -219,40 +183,6 @@
 	}, func(error) { cancel() })
 }
 
-func (d *daemon) addServers(g *run.Group, p Platform, l *listeners) {
-	d.addCallers(g, l.caller)
-	addServer(g, "ready", &http.Server{Handler: p.ReadyHandler(d.runtime), ReadHeaderTimeout: headerTimeout}, l.ready)
-	directory := p.DirectoryHandler(d.runtime, d.settings.AddressTTL)
-	addServer(g, "directory", &http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, l.directory)
-	if l.admin != nil {
-		addServer(g, "admin", &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: headerTimeout}, l.admin)
-	}
-	addServer(g, "view", &http.Server{Handler: d.peers.Handler(), ReadHeaderTimeout: headerTimeout}, l.view)
-}
-
-func addServer(g *run.Group, name string, s *http.Server, ln net.Listener) {
-	g.Add(func() error {
-		return fmt.Errorf("edged: %s listener: %w", name, s.Serve(ln))
-	}, func(error) { s.Close() })
-}
-
-// addCallers adds the callers' listener. A stopping daemon closes it before the
-// last requests are answered, which does not end the group.
-func (d *daemon) addCallers(g *run.Group, ln net.Listener) {
-	d.callerListener = ln
-	interrupted := make(chan struct{})
-	g.Add(func() error {
-		err := d.callers.Serve(ln)
-		if d.listenerClosed.Load() {
-			<-interrupted
-		}
-		return fmt.Errorf("edged: caller listener: %w", err)
-	}, func(error) {
-		close(interrupted)
-		d.callers.Close()
-	})
-}
-
 func (d *daemon) addPeers(g *run.Group, l *listeners) {
 	g.Add(d.peers.Receive, func(error) { l.peer.Close() })
 }
@@ -266,89 +196,3 @@
 		cancel()
 	})
 }
-
-// addSignals adds the graceful shutdown on SIGTERM and SIGINT. The settings are
-// read anew on SIGHUP and when their file has changed without a signal.
-func (d *daemon) addSignals(ctx context.Context, g *run.Group) {
-	signals := make(chan os.Signal, 4)
-	done := make(chan struct{})
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	g.Add(func() error {
-		defer signal.Stop(signals)
-		check := time.NewTicker(settingsCheck)
-		defer check.Stop()
-		for {
-			select {
-			case s := <-signals:
-				if s == syscall.SIGHUP {
-					d.reload()
-					continue
-				}
-				d.stop(done)
-				return errStopped
-			case <-check.C:
-				if d.settingsChanged() {
-					d.reload()
-				}
-			case <-ctx.Done():
-				d.stop(done)
-				return errStopped
-			case <-done:
-				return nil
-			}
-		}
-	}, func(error) { close(done) })
-}
-
-// stop is the graceful shutdown. The daemon counts as not ready at once, but
-// serves until no caller uses its address any more: callers keep it several
-// times as long as they are told to. Then idle connections are closed, and the
-// process ends when all requests are answered, or at the latest when the stop
-// time is over.
-func (d *daemon) stop(done <-chan struct{}) {
-	started := time.Now()
-	d.runtime.Post(gateway.StopRequested{})
-	end := started.Add(d.settings.Stop - stopMargin)
-	serve := min(keptAnswers*d.settings.AddressTTL+lingerTime, d.settings.Stop/2)
-	if !pause(serve, done) {
-		return
-	}
-	// Connections are closed one by one, not by http.Server.Shutdown: that closes
-	// connections as idle on which a request has arrived and was not read yet.
-	// The listener stays open until nobody comes any more, and is closed before
-	// the last look, so that no request is taken and then cut off.
-	if !d.awaitQuiet(end.Add(-lastRequests), lingerTime, done) {
-		return
-	}
-	d.listenerClosed.Store(true)
-	d.callerListener.Close()
-	// Requests that are open at the end are cut off; the last log line counts them.
-	d.awaitQuiet(end, 3*stopPoll, done)
-}
-
-// awaitQuiet waits until no connection and no request was open for a while, at
-// the latest until end. It reports false if done came first.
-func (d *daemon) awaitQuiet(end time.Time, while time.Duration, done <-chan struct{}) bool {
-	quiet := time.Now()
-	for time.Now().Before(end) && time.Since(quiet) < while {
-		d.conns.Drain()
-		if d.conns.Open() > 0 || d.runtime.OpenQueries() > 0 {
-			quiet = time.Now()
-		}
-		if !pause(stopPoll, done) {
-			return false
-		}
-	}
-	return true
-}
-
-func pause(d time.Duration, done <-chan struct{}) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-done:
-		return false
-	}
-}
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -56,7 +56,7 @@
 	{EdgeDaemonSeen, "edge_daemon_seen", log.InfoLevel, "Another daemon appeared or was heard again."},
 	{EdgeDaemonSilent, "edge_daemon_silent", log.WarnLevel, "Another daemon was not heard for age_ms and is not named to callers."},
 	{EdgePeerFailed, "edge_peer_failed", log.WarnLevel, "A message to or from another daemon failed."},
-	{EdgeStoreLost, "edge_store_lost", log.WarnLevel, "Calls to the store fail; the last view stays in use."},
+	{EdgeStoreLost, "edge_store_lost", log.WarnLevel, "Calls to the store fail, first with the error in detail; the last view stays in use."},
 	{EdgeStoreRegained, "edge_store_regained", log.InfoLevel, "Calls to the store work again after age_ms."},
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry lies in the store."},
 }
