--- a/pkg/core/gateway/world_test.go
+++ b/pkg/core/gateway/world_test.go
@@ -17,9 +17,11 @@
 	sent  []SendCall
 	open  map[CallID]SendCall
 	final map[QueryID]Effect
-	logs  []Log
-	other []Effect
-	next  QueryID
+	// finalAt is when the final answers were given.
+	finalAt map[QueryID]model.Time
+	logs    []Log
+	other   []Effect
+	next    QueryID
 	// connecting leaves attempts unsent until begin.
 	connecting bool
 }
@@ -41,7 +43,7 @@
 	}
 	o.Silence = time.Second
 	o.Seed = 1
-	return &world{t: t, s: New(o), now: 1, open: map[CallID]SendCall{}, final: map[QueryID]Effect{}}
+	return &world{t: t, s: New(o), now: 1, open: map[CallID]SendCall{}, final: map[QueryID]Effect{}, finalAt: map[QueryID]model.Time{}}
 }
 
 // post applies an event and files its effects.
@@ -75,6 +77,7 @@
 		w.t.Fatalf("request %d was answered twice: %+v and %+v", id, old, e)
 	}
 	w.final[id] = e
+	w.finalAt[id] = w.now
 }
 
 // pass lets time go on, with all ticks that the reducer asks for.
