--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -325,3 +325,21 @@
 		t.Errorf("4 s after %s fell silent callers are sent to %v", gone.Name, got)
 	}
 }
+
+// Guards against entries that lapsed in an outage of the store being taken as
+// gone by a daemon that has not called the store meanwhile, though others told
+// that they could not reach it: living leafs are back within two seconds.
+func TestLapseAfterOutageOfOthers(t *testing.T) {
+	w := newWorld(t)
+	w.leafs(1, "x")
+	w.configure(1, nil, plain("/r/", "x"))
+	cut := peerEntry("d2", 1, DaemonReady)
+	cut.StoreDown = true
+	w.post(GossipReceived{Daemons: []DaemonEntry{cut}})
+	w.pass(500 * time.Millisecond)
+	w.post(GossipReceived{Daemons: []DaemonEntry{peerEntry("d2", 2, DaemonReady)}})
+	w.post(ServerRemoved{ID: "x-0"})
+	if q := w.request("/r/", time.Second); len(w.calls(q)) != 1 {
+		t.Errorf("final answer %+v while the entry may come back", w.final[q])
+	}
+}
