--- a/measure/capacity/fakes.go
+++ b/measure/capacity/fakes.go
@@ -11,7 +11,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 	"github.com/pistachiousher/pistachiousher/pkg/runtime"
 )
 
@@ -74,15 +74,15 @@
 // worldPlatform holds the world's documents, which never change.
 type worldPlatform struct{ world *world }
 
-func (p *worldPlatform) Get(_ context.Context, key string) (platform.Object, error) {
+func (p *worldPlatform) Get(_ context.Context, key string) (objectapi.Object, error) {
 	switch key {
 	case runtime.BundleKey:
-		return platform.Object{Key: key, Version: 1, Value: []byte("bundle")}, nil
+		return objectapi.Object{Key: key, Version: 1, Value: []byte("bundle")}, nil
 	case runtime.EpochKey(regionName):
 		raw, err := json.Marshal(p.world.epoch)
-		return platform.Object{Key: key, Version: 1, Value: raw}, err
+		return objectapi.Object{Key: key, Version: 1, Value: raw}, err
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectapi.Object{}, objectapi.ErrNotFound
 }
 
 // Put accepts the confirmation of the bundle and nothing else.
@@ -97,7 +97,7 @@
 	return 0, errUnused
 }
 
-func (p *worldPlatform) Watch(ctx context.Context, key string, after uint64, _ time.Duration) (platform.Object, bool, error) {
+func (p *worldPlatform) Watch(ctx context.Context, key string, after uint64, _ time.Duration) (objectapi.Object, bool, error) {
 	if after == 0 {
 		o, err := p.Get(ctx, key)
 		if err == nil {
@@ -105,7 +105,7 @@
 		}
 	}
 	<-ctx.Done()
-	return platform.Object{}, false, ctx.Err()
+	return objectapi.Object{}, false, ctx.Err()
 }
 
 func (p *worldPlatform) VMs(context.Context) ([]model.VMEntry, error) { return p.world.vms(), nil }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,8 +22,8 @@
 	"github.com/pistachiousher/pistachiousher/pkg/logwriter"
 	"github.com/pistachiousher/pistachiousher/pkg/metrics"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 	"github.com/pistachiousher/pistachiousher/pkg/peer"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
 	"github.com/pistachiousher/pistachiousher/pkg/runtime"
 )
 
@@ -93,7 +93,7 @@
 	registry *prometheus.Registry
 	metrics  *metrics.Metrics
 	log      *logwriter.Writer
-	platform *platform.Client
+	platform *objectapi.Client
 	backends *backend.Client
 	peers    *peer.Client
 	loop     *runtime.Loop
@@ -146,7 +146,7 @@
 		d.options.LogOutput = os.Stderr
 	}
 	d.log = logwriter.New(d.options.LogOutput, o.LogLevel, d.metrics.LogEvent)
-	d.platform = platform.New(platform.Options{
+	d.platform = objectapi.New(objectapi.Options{
 		URLs:   o.Platform,
 		Rate:   o.PlatformRate,
 		Burst:  o.PlatformBurst,
--- a/pkg/platform/client.go
+++ b/pkg/objectapi/client.go
@@ -1,8 +1,8 @@
-// Package platform is the client of the platform's object API and VM list.
+// Package objectapi is the client of the platform's object API and VM list.
 // All calls of a daemon go through one Client, which keeps to a budget of
 // calls and backs off together after failures. The client never repeats a
 // write: what to do after ErrUnknownOutcome is the caller's decision.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/pkg/platform/client_test.go
+++ b/pkg/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
--- a/pkg/platform/errors.go
+++ b/pkg/objectapi/errors.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"errors"
@@ -8,20 +8,20 @@
 // Errors of the platform client.
 var (
 	// ErrNotFound means that the platform has no such object.
-	ErrNotFound = errors.New("platform: object not found")
+	ErrNotFound = errors.New("objectapi: object not found")
 	// ErrConflict means that the object has another version; nothing was
 	// written. The error is a *ConflictError.
-	ErrConflict = errors.New("platform: version conflict")
+	ErrConflict = errors.New("objectapi: version conflict")
 	// ErrUnavailable means that the call had no effect: it was not sent or the
 	// platform refused it.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("objectapi: unavailable")
 	// ErrUnknownOutcome means that a write may have taken effect: the request
 	// was sent, but its reply was lost or unreadable.
-	ErrUnknownOutcome = errors.New("platform: outcome of the write is unknown")
+	ErrUnknownOutcome = errors.New("objectapi: outcome of the write is unknown")
 	// ErrTooLarge means that a value is above MaxValue.
-	ErrTooLarge = errors.New("platform: value above 1 MB")
+	ErrTooLarge = errors.New("objectapi: value above 1 MB")
 	// ErrInvalidReply means that a read got a reply outside the protocol.
-	ErrInvalidReply = errors.New("platform: invalid reply")
+	ErrInvalidReply = errors.New("objectapi: invalid reply")
 )
 
 // ConflictError says which version a conditional write found.
@@ -32,7 +32,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: %s has version %d", e.Key, e.Version)
+	return fmt.Sprintf("objectapi: %s has version %d", e.Key, e.Version)
 }
 
 // Is reports true for ErrConflict.
--- a/pkg/platform/objects.go
+++ b/pkg/objectapi/objects.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -84,7 +84,7 @@
 	}
 	body, err := json.Marshal(putBody{Value: value})
 	if err != nil {
-		return 0, fmt.Errorf("platform: encode %s: %w", key, err)
+		return 0, fmt.Errorf("objectapi: encode %s: %w", key, err)
 	}
 	path := objectPath(key) + "?if_version=" + strconv.FormatUint(ifVersion, 10)
 	in := call{operation: "put", method: http.MethodPut, path: path, body: body}
--- a/pkg/runtime/fake_test.go
+++ b/pkg/runtime/fake_test.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 )
 
 // fakeCore answers each event by a function and keeps what it saw.
@@ -129,18 +129,18 @@
 // fakePlatform holds one object per key.
 type fakePlatform struct {
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]objectapi.Object
 	puts    int
 	// lose makes the next writes take effect without a reply.
 	lose bool
 }
 
-func (p *fakePlatform) Get(_ context.Context, key string) (platform.Object, error) {
+func (p *fakePlatform) Get(_ context.Context, key string) (objectapi.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o, ok := p.objects[key]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objectapi.ErrNotFound
 	}
 	return o, nil
 }
@@ -150,11 +150,11 @@
 	defer p.mu.Unlock()
 	p.puts++
 	if have := p.objects[key].Version; have != ifVersion {
-		return 0, &platform.ConflictError{Key: key, Version: have}
+		return 0, &objectapi.ConflictError{Key: key, Version: have}
 	}
-	p.objects[key] = platform.Object{Key: key, Version: ifVersion + 1, Value: value}
+	p.objects[key] = objectapi.Object{Key: key, Version: ifVersion + 1, Value: value}
 	if p.lose {
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	}
 	return ifVersion + 1, nil
 }
@@ -162,12 +162,12 @@
 func (p *fakePlatform) ReadBack(_ context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	o, err := p.Get(context.Background(), key)
 	if err != nil || o.Version <= ifVersion || string(o.Value) != string(value) {
-		return 0, platform.ErrUnknownOutcome
+		return 0, objectapi.ErrUnknownOutcome
 	}
 	return o.Version, nil
 }
 
-func (p *fakePlatform) Watch(ctx context.Context, key string, after uint64, _ time.Duration) (platform.Object, bool, error) {
+func (p *fakePlatform) Watch(ctx context.Context, key string, after uint64, _ time.Duration) (objectapi.Object, bool, error) {
 	for {
 		o, err := p.Get(ctx, key)
 		if err != nil || o.Version != after {
@@ -175,7 +175,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return o, false, platform.ErrUnavailable
+			return o, false, objectapi.ErrUnavailable
 		case <-time.After(time.Millisecond):
 		}
 	}
@@ -201,7 +201,7 @@
 		core:     &fakeCore{},
 		peers:    &fakePeers{},
 		backends: &fakeBackends{warmed: make(chan int, 1)},
-		platform: &fakePlatform{objects: map[string]platform.Object{}},
+		platform: &fakePlatform{objects: map[string]objectapi.Object{}},
 	}
 	f.Loop = New(Config{
 		Core:     f.core,
--- a/pkg/runtime/loop_test.go
+++ b/pkg/runtime/loop_test.go
@@ -10,8 +10,8 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 	"github.com/pistachiousher/pistachiousher/pkg/peer"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
 )
 
 var later = model.Time(time.Hour)
@@ -222,7 +222,7 @@
 func TestLostEpochWriteIsReadBack(t *testing.T) {
 	f := newFixture(t, 0)
 	f.platform.lose = true
-	f.platform.objects[ControlsKey] = platform.Object{Version: 8}
+	f.platform.objects[ControlsKey] = objectapi.Object{Version: 8}
 	f.do(effect.WriteEpoch{Epoch: &model.Epoch{Region: "r1", Number: 1}}, effect.ConfirmDocument{Kind: event.DocumentControls, ObjectVersion: 7})
 	f.run(t)
 	waitFor(t, "both results", func() bool {
--- a/pkg/runtime/platform.go
+++ b/pkg/runtime/platform.go
@@ -11,15 +11,15 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/logevent"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 )
 
-// Platform calls the platform; *platform.Client implements it.
+// Platform calls the platform; *objectapi.Client implements it.
 type Platform interface {
-	Get(ctx context.Context, key string) (platform.Object, error)
+	Get(ctx context.Context, key string) (objectapi.Object, error)
 	Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error)
 	ReadBack(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error)
-	Watch(ctx context.Context, key string, after uint64, poll time.Duration) (platform.Object, bool, error)
+	Watch(ctx context.Context, key string, after uint64, poll time.Duration) (objectapi.Object, bool, error)
 	VMs(ctx context.Context) ([]model.VMEntry, error)
 }
 
@@ -70,7 +70,7 @@
 
 // postMissing reports a document that could not be read from the platform.
 func (l *Loop) postMissing(kind event.DocumentKind, err error) {
-	l.post(event.DocumentFailed{Kind: kind, NotFound: errors.Is(err, platform.ErrNotFound), Err: err.Error()})
+	l.post(event.DocumentFailed{Kind: kind, NotFound: errors.Is(err, objectapi.ErrNotFound), Err: err.Error()})
 }
 
 // postDocument checks a document from a peer or the platform and reports it.
@@ -127,7 +127,7 @@
 		if err == nil {
 			out.ObjectVersion, err = l.write(ctx, l.key(event.DocumentEpoch), value, e.ObjectVersion)
 		}
-		out.Conflict = errors.Is(err, platform.ErrConflict)
+		out.Conflict = errors.Is(err, objectapi.ErrConflict)
 		out.Err = errText(err)
 		l.post(out)
 	})
@@ -139,7 +139,7 @@
 		l.post(event.DocumentConfirmed{
 			Kind:          e.Kind,
 			ObjectVersion: version,
-			Conflict:      errors.Is(err, platform.ErrConflict),
+			Conflict:      errors.Is(err, objectapi.ErrConflict),
 			Err:           errText(err),
 		})
 	})
@@ -148,7 +148,7 @@
 // errText is the message of an error other than a conflict, which events state
 // in a field of its own.
 func errText(err error) string {
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectapi.ErrConflict) {
 		return ""
 	}
 	return text(err)
@@ -158,11 +158,11 @@
 // compares instead of writing again. On a conflict it returns the version found.
 func (l *Loop) write(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	version, err := l.cfg.Platform.Put(ctx, key, value, ifVersion)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objectapi.ErrUnknownOutcome) {
 		l.log(logevent.PlatformUnknownOutcome, logevent.Str("key", key), logevent.Str("error", err.Error()))
 		version, err = l.readBack(key, value, ifVersion)
 	}
-	if conflict := new(platform.ConflictError); errors.As(err, &conflict) {
+	if conflict := new(objectapi.ConflictError); errors.As(err, &conflict) {
 		l.log(logevent.PlatformConflict, logevent.Str("key", key), logevent.Int("want", ifVersion), logevent.Int("found", conflict.Version))
 		return conflict.Version, err
 	}
--- a/pkg/runtime/watch.go
+++ b/pkg/runtime/watch.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/effect"
 	"github.com/pistachiousher/pistachiousher/pkg/core/event"
 	"github.com/pistachiousher/pistachiousher/pkg/logevent"
-	"github.com/pistachiousher/pistachiousher/pkg/platform"
+	"github.com/pistachiousher/pistachiousher/pkg/objectapi"
 )
 
 const (
@@ -69,7 +69,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return false
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		w.works()
 		w.reportMissing(err)
 		return false
