Keep the platform's names inside platform/, in tests too

Tests of edged, the command line and the soak wrote headers, paths and objects of the platform themselves, and three of them assembled the adapter again. The names lie in platform/internal/wire once; the stand-ins moved to platform/standin and take and give the product's types; platform.Adapter is the one assembly. Free ports come from standin/child instead of three copies.

--- a/cmd/pistachiousher-edge/main.go
+++ b/cmd/pistachiousher-edge/main.go
@@ -6,11 +6,8 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
-	"time"
 
-	"github.com/pistachiousher/pistachiousher/pkg/edge"
 	"github.com/pistachiousher/pistachiousher/pkg/edged"
 	"github.com/pistachiousher/pistachiousher/platform"
 )
@@ -29,13 +26,5 @@
 	if err != nil {
 		return err
 	}
-	return edged.Run(context.Background(), settings, edged.Platform{
-		Protocol: platform.Protocol{},
-		Decoder:  platform.Decoder{},
-		NewStore: func(address string, count edged.StoreCounter) edge.Store {
-			return platform.NewStore(address, count)
-		},
-		ReadyHandler:     func(r *edge.Runtime) http.Handler { return platform.NewReadyHandler(r) },
-		DirectoryHandler: func(r *edge.Runtime, ttl time.Duration) http.Handler { return platform.NewDirectoryHandler(r, ttl) },
-	}, os.Stdout)
+	return edged.Run(context.Background(), settings, platform.Adapter(), os.Stdout)
 }
--- a/pkg/cli/edge_test.go
+++ b/pkg/cli/edge_test.go
@@ -4,72 +4,58 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/pistachiousher/pistachiousher/pkg/edge"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/edged"
 	"github.com/pistachiousher/pistachiousher/platform"
-	"github.com/pistachiousher/pistachiousher/standin/objects"
+	"github.com/pistachiousher/pistachiousher/platform/standin"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // cmdEdgeDaemon starts an edge daemon with a small configuration and sets EDGE
 // to its admin address.
 func cmdEdgeDaemon(ts *testscript.TestScript, _ bool, _ []string) {
-	store := objects.New()
-	store.Put("config", "main", map[string]any{
-		"version": 7,
-		"routes": []map[string]any{
-			{"name": "all", "host": "h.example", "pathPrefix": "/a/", "kind": "safe", "shards": []string{"x", "y"}, "topK": 3, "minShardRatio": 0.5, "maxAttempts": 2, "targetLatencyMs": 100},
-			{"name": "one", "host": "h.example", "pathPrefix": "/o/", "kind": "unsafe", "backend": "x"},
+	store := standin.NewStore()
+	store.PutConfig(&gateway.Config{
+		Version: 7,
+		Routes: []*gateway.Route{
+			{
+				Name: "all", Host: "h.example", PathPrefix: "/a/", Idempotent: true, Shards: []string{"x", "y"}, TopK: 3,
+				MinShardRatio: 0.5, MaxAttempts: 2, LatencyTarget: 100 * time.Millisecond,
+			},
+			{Name: "one", Host: "h.example", PathPrefix: "/o/", Targets: []gateway.Target{{Service: "x", Weight: 1}}},
 		},
-		"backends": []map[string]any{{"name": "x", "maxConnections": 5}, {"name": "y", "maxConnections": 5}},
-	})
-	store.Put("servers", "i-1", map[string]any{
-		"backend": "x", "address": "127.0.0.1:9", "zone": "a", "version": "v", "slots": 2, "state": "ready", "warmupLeftMs": 0,
+		Services: map[string]gateway.ServiceConfig{"x": {MaxConnections: 5}, "y": {MaxConnections: 5}},
 	})
+	store.PutServer(gateway.Server{ID: "i-1", Service: "x", Address: "127.0.0.1:9", FailureDomain: "a", Slots: 2})
 	server := httptest.NewServer(store)
 	ts.Defer(server.Close)
-	admin := freeAddress(ts)
+	free, err := child.FreeAddresses(5)
+	ts.Check(err)
+	admin, peer := free[3], netip.MustParseAddrPort(free[4]).Port()
 	text := fmt.Sprintf("vm: edge-1\nfailure_domain: a\nlisten: {caller: %q, ready: %q, directory: %q, admin: %q}\npeer_port: %d\nstore: %q\nstop: 1s\naddress_ttl: 100ms\n",
-		freeAddress(ts), freeAddress(ts), freeAddress(ts), admin, freePort(ts), server.Listener.Addr())
+		free[0], free[1], free[2], admin, peer, server.Listener.Addr())
 	settings, err := edged.ParseSettings("settings", []byte(text))
 	ts.Check(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = edged.Run(ctx, settings, edged.Platform{
-			Protocol: platform.Protocol{}, Decoder: platform.Decoder{},
-			NewStore:         func(address string, count edged.StoreCounter) edge.Store { return platform.NewStore(address, count) },
-			ReadyHandler:     func(r *edge.Runtime) http.Handler { return platform.NewReadyHandler(r) },
-			DirectoryHandler: func(r *edge.Runtime, ttl time.Duration) http.Handler { return platform.NewDirectoryHandler(r, ttl) },
-		}, io.Discard)
+		_ = edged.Run(ctx, settings, platform.Adapter(), io.Discard)
 	}()
 	ts.Defer(func() { cancel(); <-done })
 	for range 200 {
-		resp, err := http.Get("http://" + settings.Listen.Ready + "/api/readyz")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				ts.Setenv("EDGE", admin)
-				return
-			}
+		if standin.Ready(http.DefaultClient, settings.Listen.Ready) {
+			ts.Setenv("EDGE", admin)
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	ts.Fatalf("the daemon is not ready after 2 s")
 }
-
-func freePort(ts *testscript.TestScript) int {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
-}
-
-func freeAddress(ts *testscript.TestScript) string { return fmt.Sprintf("127.0.0.1:%d", freePort(ts)) }
--- a/pkg/core/gateway/load_test.go
+++ b/pkg/core/gateway/load_test.go
@@ -57,7 +57,7 @@
 	// the users' sites, the share of shards counts squared.
 	wantInTime          float64
 	wantParts           float64
-	minShardRatio       float64
+	leastShards         float64
 	retrySlack, seconds float64
 }
 
@@ -67,17 +67,17 @@
 	for name, l := range map[string]load{
 		"counter search": {
 			shards: 20, slots: 3, perSecond: 74, work: 28 * time.Millisecond, target: 200 * time.Millisecond,
-			pause: 250 * time.Millisecond, pauseEvery: 6 * time.Second, minShardRatio: 0.89, retrySlack: 56, seconds: 20,
+			pause: 250 * time.Millisecond, pauseEvery: 6 * time.Second, leastShards: 0.89, retrySlack: 56, seconds: 20,
 			wantInTime: 0.95, wantParts: 0.97,
 		},
 		"counter search with slow leafs": {
 			shards: 20, slots: 3, perSecond: 74, work: 28 * time.Millisecond, target: 200 * time.Millisecond,
-			pause: 250 * time.Millisecond, pauseEvery: 6 * time.Second, minShardRatio: 0.89, retrySlack: 56, seconds: 20,
+			pause: 250 * time.Millisecond, pauseEvery: 6 * time.Second, leastShards: 0.89, retrySlack: 56, seconds: 20,
 			slowLeafs: 6, slowBy: 10, wantInTime: 0.9, wantParts: 0.95,
 		},
 		"stand lookup": {
 			shards: 20, slots: 2, perSecond: 74, work: 15 * time.Millisecond, target: 120 * time.Millisecond,
-			pause: 150 * time.Millisecond, pauseEvery: 3600 * time.Millisecond, minShardRatio: 0.89, retrySlack: 52, seconds: 20,
+			pause: 150 * time.Millisecond, pauseEvery: 3600 * time.Millisecond, leastShards: 0.89, retrySlack: 52, seconds: 20,
 			wantInTime: 0.95, wantParts: 0.97,
 		},
 	} {
@@ -87,7 +87,7 @@
 
 func (l load) run(t *testing.T) {
 	shards := names("s", l.shards)
-	r := scatter("/a/", l.minShardRatio, shards...)
+	r := scatter("/a/", l.leastShards, shards...)
 	r.LatencyTarget = l.target
 	w := newWorldWith(t, Options{RetryRatio: 0.2, RetrySlack: l.retrySlack})
 	w.configure(1, nil, r)
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/edged"
-	"github.com/pistachiousher/pistachiousher/standin/leaf"
+	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
 
 // startBound is how long a daemon may take to serve after its start.
@@ -25,18 +26,17 @@
 // missing shards.
 func TestMergedAnswer(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte(record("b") + record("d") + "rest")})
-	s.leaf("i-2", "two", leaf.Behavior{Body: []byte(record("c") + record("d"))})
-	s.configure(route("/all/", map[string]any{"shards": []string{"one", "two", "none"}, "topK": 3, "minShardRatio": 0.5}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte(record("b") + record("d") + "rest")})
+	s.leaf("i-2", "two", standin.Behavior{Body: []byte(record("c") + record("d"))})
+	s.configure(overShards("/all/", 3, 0.5, "one", "two", "none"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
 	a := d.call("GET", "/all/x?q=1", "q1", time.Second, "")
-	if a.status != http.StatusOK || a.body != record("d")+record("d")+record("c") {
+	if a.Status != http.StatusOK || a.Body != record("d")+record("d")+record("c") {
 		t.Fatalf("answer %+v", a)
 	}
-	stamps := strings.Split(a.header.Get("X-Pistachiousher-Part-Stamps"), ", ")
-	if len(stamps) != 2 || stamps[0] != "i-1.q1" || stamps[1] != "i-2.q1" || a.header.Get("X-Pistachiousher-Missing-Parts") != "1" {
-		t.Errorf("header %v", a.header)
+	if !slices.Equal(a.Parts, []string{"i-1.q1", "i-2.q1"}) || a.Missing != 1 {
+		t.Errorf("parts %v, %d missing", a.Parts, a.Missing)
 	}
 }
 
@@ -45,11 +45,11 @@
 // answered.
 func TestStopAnswersOpenRequests(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Work: 700 * time.Millisecond, Body: []byte("body")})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Work: 700 * time.Millisecond, Body: []byte("body")})
+	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
-	open := make(chan answer, 20)
+	open := make(chan standin.Answer, 20)
 	go func() {
 		// Requests start before and during the whole time in which callers may use
 		// the address, so that some are open whenever the daemon goes a step on.
@@ -62,7 +62,7 @@
 	d.cancel()
 	eventually(t, 500*time.Millisecond, "not ready", func() bool { return !d.ready() })
 	for range cap(open) {
-		if a := <-open; a.err != nil || a.status != http.StatusOK || a.body != "body" {
+		if a := <-open; a.Err != nil || a.Status != http.StatusOK || a.Body != "body" {
 			t.Errorf("answer %+v", a)
 		}
 	}
@@ -77,19 +77,19 @@
 // silent: it must be in force 3 s after its acknowledgement.
 func TestConfigAfterSilentWatch(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("one")})
-	s.leaf("i-2", "two", leaf.Behavior{Body: []byte("two")})
-	s.configure(route("/r/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("one")})
+	s.leaf("i-2", "two", standin.Behavior{Body: []byte("two")})
+	s.configure(route("/r/", "one"))
 	daemons := []*daemon{s.daemon(1), s.daemon(2), s.daemon(3)}
 	for _, d := range daemons {
 		eventually(t, startBound, "ready", d.ready)
 	}
 	s.store.Compact()
-	s.configure(route("/r/", map[string]any{"backend": "two"}))
+	s.configure(route("/r/", "two"))
 	changed := time.Now()
 	for _, d := range daemons {
 		eventually(t, 3*time.Second-time.Since(changed), "new version at "+d.settings.VM, func() bool {
-			return d.call("GET", "/r/x", "q", time.Second, "").body == "two"
+			return d.call("GET", "/r/x", "q", time.Second, "").Body == "two"
 		})
 	}
 }
@@ -98,8 +98,8 @@
 // last moments of a stopping daemon and cut off by its end.
 func TestStopWithLateCallers(t *testing.T) {
 	s := newSite(t)
-	l := s.leaf("i-1", "one", leaf.Behavior{Work: 60 * time.Millisecond, Body: []byte("body")})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	l := s.leaf("i-1", "one", standin.Behavior{Work: 60 * time.Millisecond, Body: []byte("body")})
+	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
 	d.client.Transport.(*http.Transport).DisableKeepAlives = true
@@ -109,7 +109,7 @@
 	for ended := false; !ended; {
 		time.Sleep(5 * time.Millisecond)
 		callers.Go(func() {
-			if a := d.call("GET", "/one/x", "q", time.Second, ""); a.status == http.StatusOK {
+			if a := d.call("GET", "/one/x", "q", time.Second, ""); a.Status == http.StatusOK {
 				answered.Add(1)
 			}
 		})
@@ -129,8 +129,8 @@
 // of several.
 func TestDirectoryOfTwoDaemons(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", "one"))
 	a, b := s.daemon(1), s.daemon(2)
 	eventually(t, startBound, "both are named", func() bool { return len(a.addresses()) == 2 && len(b.addresses()) == 2 })
 	b.cancel()
@@ -146,23 +146,23 @@
 // nothing though another daemon knows configuration and leafs.
 func TestStartDuringOutage(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", "one"))
 	a := s.daemon(1)
 	eventually(t, startBound, "ready", a.ready)
 	s.store.SetDown(true)
 	b := s.daemon(2)
 	eventually(t, 3*time.Second, "ready during the outage", b.ready)
 	for _, d := range []*daemon{a, b} {
-		if got := d.call("GET", "/one/x", "q", time.Second, ""); got.body != "body" {
+		if got := d.call("GET", "/one/x", "q", time.Second, ""); got.Body != "body" {
 			t.Errorf("%s: answer %+v", d.settings.VM, got)
 		}
 	}
 	s.store.SetDown(false)
-	s.configure(route("/one/", map[string]any{"backend": "two"}))
+	s.configure(route("/one/", "two"))
 	eventually(t, 3*time.Second, "a configuration written after the outage", func() bool {
-		return a.call("GET", "/one/x", "q", time.Second, "").status == http.StatusServiceUnavailable &&
-			b.call("GET", "/one/x", "q", time.Second, "").status == http.StatusServiceUnavailable
+		return a.call("GET", "/one/x", "q", time.Second, "").Status == http.StatusServiceUnavailable &&
+			b.call("GET", "/one/x", "q", time.Second, "").Status == http.StatusServiceUnavailable
 	})
 }
 
@@ -170,30 +170,30 @@
 // that are not told when to come back.
 func TestNotIdempotentOverTheWire(t *testing.T) {
 	s := newSite(t)
-	lost := s.leaf("i-1", "lost", leaf.Behavior{Lose: true})
-	shed := s.leaf("i-2", "shed", leaf.Behavior{Shed: true})
+	lost := s.leaf("i-1", "lost", standin.Behavior{Lose: true})
+	shed := s.leaf("i-2", "shed", standin.Behavior{Shed: true})
 	s.configure(
-		route("/lost/", map[string]any{"backend": "lost", "kind": "unsafe"}),
-		route("/shed/", map[string]any{"backend": "shed", "kind": "unsafe"}),
+		orders("/lost/", "lost"),
+		orders("/shed/", "shed"),
 	)
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
-	if a := d.call("POST", "/lost/x", "q1", time.Second, "order"); a.status != http.StatusBadGateway || a.header.Get("Retry-After") != "" {
+	if a := d.call("POST", "/lost/x", "q1", time.Second, "order"); a.Status != http.StatusBadGateway || a.RetryAfter != "" {
 		t.Errorf("lost answer: %+v", a)
 	}
 	if ran := lost.Ran(); len(ran) != 1 || ran[0].Body != "order" || ran[0].RequestID != "q1" || ran[0].Path != "/lost/x" || ran[0].Method != "POST" {
 		t.Errorf("ran %+v", ran)
 	}
-	if a := d.call("POST", "/shed/x", "q2", time.Second, "order"); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+	if a := d.call("POST", "/shed/x", "q2", time.Second, "order"); a.Status != http.StatusServiceUnavailable || a.RetryAfter == "" {
 		t.Errorf("shed request: %+v", a)
 	}
 	if len(shed.Ran()) != 0 {
 		t.Error("a shed request ran")
 	}
-	if a := d.call("POST", "/none/x", "q3", time.Second, ""); a.status != http.StatusNotFound {
+	if a := d.call("POST", "/none/x", "q3", time.Second, ""); a.Status != http.StatusNotFound {
 		t.Errorf("unknown route: %+v", a)
 	}
-	if a := d.call("POST", "/lost/x", "q4", time.Second, strings.Repeat("x", 1001)); a.status != http.StatusRequestEntityTooLarge {
+	if a := d.call("POST", "/lost/x", "q4", time.Second, strings.Repeat("x", 1001)); a.Status != http.StatusRequestEntityTooLarge {
 		t.Errorf("body over the limit: %+v", a)
 	}
 }
@@ -202,8 +202,8 @@
 // taken as another request's.
 func TestLateSecondAnswer(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body"), Extra: true})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body"), Extra: true})
+	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
 	whole := 0
@@ -211,9 +211,9 @@
 		id := "q" + strings.Repeat("x", i)
 		a := d.call("GET", "/one/x", id, time.Second, "")
 		switch {
-		case a.status == http.StatusOK && a.header.Get("X-Pistachiousher-Request-Id") == id && a.body == "body":
+		case a.Status == http.StatusOK && a.RequestID == id && a.Body == "body":
 			whole++
-		case a.status == http.StatusBadGateway && a.header.Get("X-Pistachiousher-Server-Stamp") == "":
+		case a.Status == http.StatusBadGateway && a.Stamp == "":
 			// The connection ended before the own answer and the retry budget is spent.
 		default:
 			t.Errorf("answer to %s: %+v", id, a)
@@ -228,8 +228,8 @@
 // Guards against work that goes on after its caller has left.
 func TestCallerLeaves(t *testing.T) {
 	s := newSite(t)
-	l := s.leaf("i-1", "one", leaf.Behavior{Work: 5 * time.Second})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	l := s.leaf("i-1", "one", standin.Behavior{Work: 5 * time.Second})
+	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
 	d.client.Timeout = 100 * time.Millisecond
@@ -255,8 +255,8 @@
 // file is changed to one that it cannot use.
 func TestReload(t *testing.T) {
 	s := newSite(t)
-	s.leaf("i-1", "one", leaf.Behavior{Body: []byte("body")})
-	s.configure(route("/one/", map[string]any{"backend": "one"}))
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startBound, "ready", d.ready)
 	d.stop()
@@ -285,7 +285,7 @@
 	write(strings.Replace(d.text, "ratio: 0.2", "ratio: 0.1", 1))
 	hangUp()
 	eventually(t, 2*time.Second, "the change is logged", func() bool { return strings.Contains(d.log.String(), "edge_settings_read") })
-	if a := d.call("GET", "/one/x", "q", time.Second, ""); a.status != http.StatusOK {
+	if a := d.call("GET", "/one/x", "q", time.Second, ""); a.Status != http.StatusOK {
 		t.Errorf("answer %+v", a)
 	}
 }
--- a/pkg/edged/harness_test.go
+++ b/pkg/edged/harness_test.go
@@ -3,21 +3,21 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/pkg/edge"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/edged"
 	"github.com/pistachiousher/pistachiousher/platform"
-	"github.com/pistachiousher/pistachiousher/standin/leaf"
-	"github.com/pistachiousher/pistachiousher/standin/objects"
+	"github.com/pistachiousher/pistachiousher/platform/standin"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 const host = "parish.example"
@@ -25,15 +25,16 @@
 // site is a store with a configuration, leafs and daemons on loopback.
 type site struct {
 	t       *testing.T
-	store   *objects.Store
+	store   *standin.Store
 	server  *httptest.Server
-	version int
-	peer    int
+	version uint64
+	// peer is the port of datagrams and views of all daemons.
+	peer uint16
 }
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, store: objects.New(), peer: freePort(t, "127.0.0.1")}
+	s := &site{t: t, store: standin.NewStore(), peer: netip.MustParseAddrPort(freeAddresses(t, "127.0.0.1", 1)[0]).Port()}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(func() {
 		s.server.CloseClientConnections()
@@ -43,53 +44,54 @@
 }
 
 // configure writes a version of the configuration with the given routes.
-func (s *site) configure(routes ...map[string]any) {
+func (s *site) configure(routes ...*gateway.Route) {
 	s.version++
-	services := map[string]bool{}
+	c := &gateway.Config{
+		Version: s.version, Routes: routes, Services: map[string]gateway.ServiceConfig{},
+		Limits: gateway.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1000, HeaderTimeout: 3 * time.Second, IdleTimeout: 5 * time.Second},
+	}
 	for _, r := range routes {
-		if name, ok := r["backend"].(string); ok {
-			services[name] = true
+		services := slices.Clone(r.Shards)
+		for _, target := range r.Targets {
+			services = append(services, target.Service)
 		}
-		shards, _ := r["shards"].([]string)
-		for _, name := range shards {
-			services[name] = true
+		for _, name := range services {
+			c.Services[name] = gateway.ServiceConfig{MaxConnections: 30, WarmUp: time.Second}
 		}
 	}
-	var backends []map[string]any
-	for name := range services {
-		backends = append(backends, map[string]any{"name": name, "maxConnections": 30, "warmupS": 1.0, "warmupPerS": 0.0})
-	}
-	s.store.Put("config", "main", map[string]any{
-		"version": s.version, "routes": routes, "backends": backends,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeoutMs": 3000, "idleTimeoutMs": 5000},
-	})
+	s.store.PutConfig(c)
 }
 
-func route(prefix string, more map[string]any) map[string]any {
-	r := map[string]any{
-		"name": "r" + prefix, "host": host, "pathPrefix": prefix, "kind": "safe", "timeoutMs": 2000,
-		"targetLatencyMs": 200, "priority": 1, "maxAttempts": 2,
-	}
-	for k, v := range more {
-		r[k] = v
+// route returns an idempotent route to one service.
+func route(prefix, service string) *gateway.Route {
+	return &gateway.Route{
+		Name: "r" + prefix, Host: host, PathPrefix: prefix, Idempotent: true, Timeout: 2 * time.Second,
+		LatencyTarget: 200 * time.Millisecond, Priority: 1, MaxAttempts: 2, Targets: []gateway.Target{{Service: service, Weight: 1}},
 	}
+}
+
+// orders returns a route whose requests are not idempotent.
+func orders(prefix, service string) *gateway.Route {
+	r := route(prefix, service)
+	r.Idempotent = false
+	return r
+}
+
+// overShards returns a route over shards.
+func overShards(prefix string, topK int, ratio float64, shards ...string) *gateway.Route {
+	r := route(prefix, "")
+	r.Targets, r.Shards, r.TopK, r.MinShardRatio = nil, shards, topK, ratio
 	return r
 }
 
-func (s *site) leaf(id, service string, b leaf.Behavior) *leaf.Leaf {
+func (s *site) leaf(id, service string, b standin.Behavior) *standin.Leaf {
 	s.t.Helper()
-	l := leaf.Start(id, b)
+	l := standin.StartLeaf(id, b)
 	s.t.Cleanup(l.Close)
-	s.register(l, service, "ready")
+	s.store.PutServer(gateway.Server{ID: id, Service: service, Address: l.Address(), FailureDomain: "a", Slots: 2})
 	return l
 }
 
-func (s *site) register(l *leaf.Leaf, service, state string) {
-	s.store.Put("servers", l.ID, map[string]any{
-		"backend": service, "address": l.Address(), "zone": "a", "version": "v1", "slots": 2, "state": state, "warmupLeftMs": 0, "sequence": 1,
-	})
-}
-
 // daemon is a daemon of the site.
 type daemon struct {
 	t        *testing.T
@@ -123,11 +125,11 @@
 // daemon starts the n-th daemon at 127.0.0.n.
 func (s *site) daemon(n int) *daemon {
 	s.t.Helper()
-	ip := fmt.Sprintf("127.0.0.%d", n)
+	free := freeAddresses(s.t, fmt.Sprintf("127.0.0.%d", n), 3)
 	text := fmt.Sprintf(`vm: edge-%d
 failure_domain: a
 regions: [{failure_domain: a, region: north}]
-listen: {caller: "%s:%d", ready: "%s:%d", directory: "%s:%d"}
+listen: {caller: %q, ready: %q, directory: %q}
 peer_port: %d
 seeds: ["127.0.0.1:1"]
 store: "%s"
@@ -135,7 +137,7 @@
 stop: 3s
 contact_loss: 2s
 address_ttl: 200ms
-`, n, ip, freePort(s.t, ip), ip, freePort(s.t, ip), ip, freePort(s.t, ip), s.peer, s.server.Listener.Addr())
+`, n, free[0], free[1], free[2], s.peer, s.server.Listener.Addr())
 	settings, err := edged.ParseSettings("test", []byte(text))
 	if err != nil {
 		s.t.Fatal(err)
@@ -152,7 +154,7 @@
 	done, out := d.done, d.log
 	go func() {
 		defer close(done)
-		if err := edged.Run(ctx, d.settings, adapter(), out); err != nil {
+		if err := edged.Run(ctx, d.settings, platform.Adapter(), out); err != nil {
 			d.t.Errorf("daemon %s: %v", d.settings.VM, err)
 		}
 	}()
@@ -163,77 +165,30 @@
 	<-d.done
 }
 
-func adapter() edged.Platform {
-	return edged.Platform{
-		Protocol: platform.Protocol{}, Decoder: platform.Decoder{},
-		NewStore: func(address string, count edged.StoreCounter) edge.Store {
-			return platform.NewStore(address, count)
-		},
-		ReadyHandler:     func(r *edge.Runtime) http.Handler { return platform.NewReadyHandler(r) },
-		DirectoryHandler: func(r *edge.Runtime, ttl time.Duration) http.Handler { return platform.NewDirectoryHandler(r, ttl) },
-	}
-}
-
-func freePort(t *testing.T, ip string) int {
+func freeAddresses(t *testing.T, ip string, n int) []string {
 	t.Helper()
-	ln, err := net.Listen("tcp", ip+":0")
+	list, err := child.FreeAddressesOf(ip, n)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	return list
 }
 
-// answer is what a caller got.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
+// call sends one request to a daemon.
+func (d *daemon) call(method, path, id string, wait time.Duration, body string) standin.Answer {
+	return d.caller().Ask(d.settings.Listen.Caller, standin.Request{Method: method, Path: path, ID: id, Wait: wait, Body: strings.NewReader(body)})
 }
 
-// call sends one request to a daemon.
-func (d *daemon) call(method, path, id string, wait time.Duration, body string) answer {
-	req, err := http.NewRequest(method, "http://"+d.settings.Listen.Caller+path, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Host = host
-	req.Header.Set("X-Pistachiousher-Request-Id", id)
-	req.Header.Set("X-Pistachiousher-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+func (d *daemon) caller() *standin.Caller {
+	return &standin.Caller{Client: d.client, Host: host, Region: "north"}
 }
 
 // ready reports whether the daemon tells the platform that it is ready.
-func (d *daemon) ready() bool {
-	resp, err := d.client.Get("http://" + d.settings.Listen.Ready + "/api/readyz")
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
+func (d *daemon) ready() bool { return standin.Ready(d.client, d.settings.Listen.Ready) }
 
 // addresses asks the daemon's directory.
 func (d *daemon) addresses() []string {
-	resp, err := d.client.Get("http://" + d.settings.Listen.Directory + "/api/resolve?name=" + host + "&region=north&zone=a")
-	if err != nil {
-		return nil
-	}
-	defer resp.Body.Close()
-	var body struct {
-		Addresses []string `json:"addrs"`
-	}
-	if json.NewDecoder(resp.Body).Decode(&body) != nil {
-		return nil
-	}
-	return body.Addresses
+	return d.caller().Resolve(context.Background(), d.settings.Listen.Directory)
 }
 
 // eventually waits for a condition that a stated bound asks for.
--- a/standin/child/child.go
+++ b/standin/child/child.go
@@ -136,10 +136,13 @@
 }
 
 // FreeAddresses returns loopback addresses that nothing listens on.
-func FreeAddresses(n int) ([]string, error) {
+func FreeAddresses(n int) ([]string, error) { return FreeAddressesOf("127.0.0.1", n) }
+
+// FreeAddressesOf is FreeAddresses for one of the loopback IP addresses.
+func FreeAddressesOf(ip string, n int) ([]string, error) {
 	var list []string
 	for range 100 * n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(ports))))
 		if err != nil {
 			continue
 		}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
 
 // outcome is what a caller got for one request.
@@ -21,11 +21,9 @@
 	daemon *daemon
 	begin  time.Time
 	end    time.Time
-	// status is 0 if the connection ended without an answer or was refused.
-	status  int
+	// Status is 0 if the connection ended without an answer or was refused.
+	standin.Answer
 	refused bool
-	header  http.Header
-	body    string
 }
 
 // callers send requests until ctx ends: they ask a daemon for addresses, keep
@@ -55,7 +53,7 @@
 			c.mu.Lock()
 			c.all = append(c.all, o)
 			c.mu.Unlock()
-			if o.status == 0 {
+			if o.Status == 0 {
 				addresses = nil
 			}
 		}
@@ -67,22 +65,11 @@
 	d := c.site.daemons[r.IntN(len(c.site.daemons))]
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.directory+"/api/resolve?name="+host+"&region=north&zone=a", nil)
-	if err != nil {
-		return nil
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil
-	}
-	defer resp.Body.Close()
-	var body struct {
-		Addresses []string `json:"addrs"`
-	}
-	if json.NewDecoder(resp.Body).Decode(&body) != nil {
-		return nil
-	}
-	return body.Addresses
+	return newCaller(client).Resolve(ctx, d.directory)
+}
+
+func newCaller(client *http.Client) *standin.Caller {
+	return &standin.Caller{Client: client, Host: host, Region: "north"}
 }
 
 func (c *callers) ask(client *http.Client, address, id string, unsafe bool) outcome {
@@ -108,27 +95,14 @@
 }
 
 func (c *callers) send(client *http.Client, method, path, address string, o *outcome) {
-	// A body that cannot be read twice keeps net/http from sending a request again
-	// by itself.
-	req, err := http.NewRequest(method, "http://"+address+path, io.NopCloser(strings.NewReader("x")))
-	if err != nil {
-		panic(err)
-	}
-	req.Host = host
-	req.Header.Set("X-Pistachiousher-Request-Id", o.id)
-	req.Header.Set("X-Pistachiousher-Deadline-Ms", "1500")
-	resp, err := client.Do(req)
+	o.Answer = newCaller(client).Ask(address, standin.Request{
+		Method: method, Path: path, ID: o.id, Wait: 1500 * time.Millisecond,
+		// A body that cannot be read twice keeps net/http from sending a request again
+		// by itself.
+		Body: io.NopCloser(strings.NewReader("x")),
+	})
 	o.end = time.Now()
-	if err != nil {
-		o.refused = strings.Contains(err.Error(), "connection refused")
-		return
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return
-	}
-	o.status, o.header, o.body = resp.StatusCode, resp.Header, string(body)
+	o.refused = o.Err != nil && strings.Contains(o.Err.Error(), "connection refused")
 }
 
 // checkMerged returns what is wrong with a merged answer: stamps that are not
@@ -136,7 +110,7 @@
 // records that are not the greatest of the parts.
 func (s *site) checkMerged(o outcome) string {
 	var shards []string
-	for _, stamp := range strings.Split(o.header.Get("X-Pistachiousher-Part-Stamps"), ", ") {
+	for _, stamp := range o.Parts {
 		id, request, _ := strings.Cut(stamp, ".")
 		s.mu.Lock()
 		shard := s.shardOf[id]
@@ -146,8 +120,10 @@
 		}
 		shards = append(shards, shard)
 	}
-	missing, err := strconv.Atoi(o.header.Get("X-Pistachiousher-Missing-Parts"))
-	if err != nil {
+	if len(shards) == 0 {
+		return "no stamps"
+	}
+	if o.Missing == standin.NoCount {
 		return "no count of missing parts"
 	}
 	for _, layout := range layouts {
@@ -159,8 +135,8 @@
 				return fmt.Sprintf("parts %v of two sets of shards", shards)
 			}
 		}
-		if len(shards)+missing != len(layout) {
-			return fmt.Sprintf("%d parts and %d missing of %d", len(shards), missing, len(layout))
+		if len(shards)+o.Missing != len(layout) {
+			return fmt.Sprintf("%d parts and %d missing of %d", len(shards), o.Missing, len(layout))
 		}
 	}
 	slices.Sort(shards)
@@ -169,8 +145,8 @@
 	for _, shard := range shards[:min(3, len(shards))] {
 		want += recordOf(shard)
 	}
-	if o.body != want {
-		return fmt.Sprintf("body %q, want %q", o.body, want)
+	if o.Body != want {
+		return fmt.Sprintf("body %q, want %q", o.Body, want)
 	}
 	return ""
 }
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -2,18 +2,20 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/standin/leaf"
-	"github.com/pistachiousher/pistachiousher/standin/objects"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/platform/standin"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 const (
@@ -46,12 +48,12 @@
 type site struct {
 	t      *testing.T
 	dir    string
-	store  *objects.Store
+	store  *standin.Store
 	server *httptest.Server
 
 	mu        sync.Mutex
 	daemons   []*daemon
-	leafs     []*leaf.Leaf
+	leafs     []*standin.Leaf
 	shardOf   map[string]string
 	drainedAt map[string]time.Time
 	storeOut  []disturbance
@@ -82,7 +84,7 @@
 
 func newSite(t *testing.T, daemons int) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), store: objects.New(), shardOf: map[string]string{}, drainedAt: map[string]time.Time{}}
+	s := &site{t: t, dir: t.TempDir(), store: standin.NewStore(), shardOf: map[string]string{}, drainedAt: map[string]time.Time{}}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close() })
 	for _, layout := range layouts {
@@ -96,7 +98,7 @@
 		s.addLeaf("orders")
 	}
 	s.configure(0)
-	peer := freePort(t, "127.0.0.1")
+	peer := netip.MustParseAddrPort(freeAddresses(t, "127.0.0.1", 1)[0]).Port()
 	for i := range daemons {
 		s.addDaemon(i, peer)
 	}
@@ -104,31 +106,29 @@
 }
 
 // addLeaf starts a leaf; the record that it answers with names its shard.
-func (s *site) addLeaf(shard string) *leaf.Leaf {
+func (s *site) addLeaf(shard string) *standin.Leaf {
 	s.mu.Lock()
 	id := fmt.Sprintf("i-%d", len(s.leafs))
 	s.mu.Unlock()
-	l := leaf.Start(id, normal(shard))
+	l := standin.StartLeaf(id, normal(shard))
 	s.t.Cleanup(l.Close)
 	s.mu.Lock()
 	s.leafs = append(s.leafs, l)
 	s.shardOf[id] = shard
 	s.mu.Unlock()
-	s.register(l, shard, "ready")
+	s.register(l, shard, false)
 	return l
 }
 
-func normal(shard string) leaf.Behavior {
-	return leaf.Behavior{Work: work, Body: []byte(recordOf(shard))}
+func normal(shard string) standin.Behavior {
+	return standin.Behavior{Work: work, Body: []byte(recordOf(shard))}
 }
 
 // recordOf is the record of 16 bytes that the leafs of a shard answer with.
 func recordOf(shard string) string { return fmt.Sprintf("%-16s", shard) }
 
-func (s *site) register(l *leaf.Leaf, service, state string) {
-	s.store.Put("servers", l.ID, map[string]any{
-		"backend": service, "address": l.Address(), "zone": "a", "version": "v1", "slots": 4, "state": state, "warmupLeftMs": 0, "sequence": 1,
-	})
+func (s *site) register(l *standin.Leaf, service string, draining bool) {
+	s.store.PutServer(gateway.Server{ID: l.ID, Service: service, Address: l.Address(), FailureDomain: "a", Slots: 4, Draining: draining})
 }
 
 // configure writes the next version, with the given set of shards, and notes
@@ -137,40 +137,31 @@
 	s.mu.Lock()
 	number := len(s.versions) + 1
 	s.mu.Unlock()
-	common := map[string]any{"host": host, "timeoutMs": 1500, "targetLatencyMs": 150, "priority": 1, "maxAttempts": 2}
-	route := func(name, prefix string, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "pathPrefix": prefix}
-		for _, m := range []map[string]any{common, more} {
-			for k, v := range m {
-				r[k] = v
-			}
+	route := func(name, prefix string) *gateway.Route {
+		return &gateway.Route{
+			Name: name, Host: host, PathPrefix: prefix, Idempotent: true, Timeout: 1500 * time.Millisecond,
+			LatencyTarget: 150 * time.Millisecond, Priority: 1, MaxAttempts: 2, Targets: []gateway.Target{{Service: "orders", Weight: 1}},
 		}
-		return r
 	}
-	var backends []map[string]any
-	for _, name := range append(append([]string{"orders"}, layouts[0]...), layouts[1]...) {
-		backends = append(backends, map[string]any{"name": name, "maxConnections": 40})
+	all, order, probe := route("all", "/all/"), route("order", "/order/"), route("probe", fmt.Sprintf("/v%d/", number))
+	all.Targets, all.Shards, all.TopK, all.MinShardRatio = nil, layouts[layout], 3, 0.5
+	order.Idempotent = false
+	c := &gateway.Config{
+		Version: uint64(number), Routes: []*gateway.Route{all, order, probe}, Services: map[string]gateway.ServiceConfig{},
+		Limits: gateway.Limits{MaxBodyBytes: 1000, IdleTimeout: 3 * time.Second},
 	}
-	s.store.Put("config", "main", map[string]any{
-		"version": number, "backends": backends,
-		"limits": map[string]any{"maxBodyBytes": 1000, "idleTimeoutMs": 3000},
-		"routes": []map[string]any{
-			route("all", "/all/", map[string]any{"kind": "safe", "shards": layouts[layout], "topK": 3, "minShardRatio": 0.5}),
-			route("order", "/order/", map[string]any{"kind": "unsafe", "backend": "orders"}),
-			route("probe", fmt.Sprintf("/v%d/", number), map[string]any{"kind": "safe", "backend": "orders"}),
-		},
-	})
+	for _, name := range slices.Concat([]string{"orders"}, layouts[0], layouts[1]) {
+		c.Services[name] = gateway.ServiceConfig{MaxConnections: 40}
+	}
+	s.store.PutConfig(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, version{number, layout, time.Now()})
 }
 
-func (s *site) addDaemon(i, peer int) {
-	ip := fmt.Sprintf("127.0.0.%d", i+1)
-	d := &daemon{name: fmt.Sprintf("edge-%d", i)}
-	d.caller = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
-	d.directory = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
-	d.ready = fmt.Sprintf("%s:%d", ip, freePort(s.t, ip))
+func (s *site) addDaemon(i int, peer uint16) {
+	free := freeAddresses(s.t, fmt.Sprintf("127.0.0.%d", i+1), 3)
+	d := &daemon{name: fmt.Sprintf("edge-%d", i), caller: free[0], directory: free[1], ready: free[2]}
 	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"127.0.0.1:1\", \"127.0.0.2:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
 		d.name, d.caller, d.ready, d.directory, peer, s.server.Listener.Addr(), stopTime)
 	d.settings = filepath.Join(s.dir, d.name+".yaml")
@@ -261,12 +252,11 @@
 	return calm(s.storeOut, begin, end, true)
 }
 
-func freePort(t *testing.T, ip string) int {
+func freeAddresses(t *testing.T, ip string, n int) []string {
 	t.Helper()
-	ln, err := net.Listen("tcp", ip+":0")
+	list, err := child.FreeAddressesOf(ip, n)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	return list
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"github.com/pistachiousher/pistachiousher/standin/leaf"
+	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
 
 var (
@@ -104,12 +104,8 @@
 	t.Helper()
 	for _, d := range s.daemons {
 		for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			resp, err := http.Get("http://" + d.ready + "/api/readyz")
-			if err == nil {
-				resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					break
-				}
+			if standin.Ready(http.DefaultClient, d.ready) {
+				break
 			}
 			if time.Now().After(end) {
 				t.Fatalf("%s is not ready after 5 s", d.name)
@@ -206,9 +202,9 @@
 }
 
 // drainLeaf replaces a leaf: the new one starts first, the old one drains.
-func (s *site) drainLeaf(l *leaf.Leaf, shard string) {
+func (s *site) drainLeaf(l *standin.Leaf, shard string) {
 	s.addLeaf(shard)
-	s.register(l, shard, "draining")
+	s.register(l, shard, true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drainedAt[l.ID] = time.Now()
@@ -236,8 +232,8 @@
 			continue
 		}
 		o := (&callers{site: s}).probe(d, fmt.Sprintf("/v%d/x", newest.number))
-		if o.status != http.StatusOK {
-			t.Errorf("CONFIG: %s answers %d for a route of version %d, acknowledged %v ago", d.name, o.status, newest.number, now.Sub(newest.at))
+		if o.Status != http.StatusOK {
+			t.Errorf("CONFIG: %s answers %d for a route of version %d, acknowledged %v ago", d.name, o.Status, newest.number, now.Sub(newest.at))
 		}
 	}
 }
@@ -262,20 +258,20 @@
 		switch {
 		case o.unsafe && ran[o.id] > 1:
 			t.Errorf("TWICE: %s ran %d times", o.id, ran[o.id])
-		case (o.status == 503 || o.status == 429) && ran[o.id] > 0:
-			t.Errorf("REFUSED: %s was refused with %d and ran", o.id, o.status)
-		case o.status == 200 && o.unsafe && o.header.Get("X-Pistachiousher-Request-Id") != o.id:
-			t.Errorf("MIXED: %s got the answer to %s", o.id, o.header.Get("X-Pistachiousher-Request-Id"))
-		case o.status == 200 && !o.unsafe:
+		case (o.Status == 503 || o.Status == 429) && ran[o.id] > 0:
+			t.Errorf("REFUSED: %s was refused with %d and ran", o.id, o.Status)
+		case o.Status == 200 && o.unsafe && o.RequestID != o.id:
+			t.Errorf("MIXED: %s got the answer to %s", o.id, o.RequestID)
+		case o.Status == 200 && !o.unsafe:
 			if wrong := s.checkMerged(o); wrong != "" {
 				t.Errorf("MIXED: %s: %s", o.id, wrong)
 			}
-		case o.status == 0 && !o.refused && ran[o.id] > 0 && o.daemon.calm(o.begin, o.end, false) && !o.lateAtStop():
+		case o.Status == 0 && !o.refused && ran[o.id] > 0 && o.daemon.calm(o.begin, o.end, false) && !o.lateAtStop():
 			t.Errorf("LOST: %s ran and its connection to %s ended without an answer", o.id, o.daemon.name)
 		}
 		if o.begin.After(calmFrom) {
 			calm++
-			if o.status == 200 {
+			if o.Status == 200 {
 				served++
 			}
 		}
