--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -43,9 +43,10 @@
 	}
 	var out []DaemonEntry
 	cores := 0.0
+	order := s.domainOrder(byDomain)
 	for turn := 0; ; turn++ {
 		before := len(out)
-		for _, domain := range s.domainOrder(byDomain) {
+		for _, domain := range order {
 			if len(out) >= minActive && cores*callsPerCore >= float64(calls) {
 				return out
 			}
@@ -91,8 +92,8 @@
 	return order
 }
 
-// sizeClass groups VMs whose difference in size does not matter: the powers of
-// two of a tenth of a core, up to 0.4 cores.
+// sizeClass groups VMs whose difference in size does not matter: below 0.2 cores,
+// below 0.4, and those above.
 func sizeClass(e DaemonEntry) int {
 	switch {
 	case e.Cores >= 0.4:
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -66,7 +66,7 @@
 
 // New returns a reducer without configuration or leafs.
 func New(o Options) *State {
-	s := &State{
+	return &State{
 		opt:       o,
 		rand:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		servers:   map[string]*server{},
@@ -77,7 +77,6 @@
 		calls:     map[CallID]*call{},
 		daemons:   map[string]*daemon{},
 	}
-	return s
 }
 
 // Step applies one event. The returned slice is valid until the next call.
@@ -142,9 +141,6 @@
 // Ready reports whether the daemon may get requests.
 func (s *State) Ready() bool { return s.config != nil && s.serversKnown && !s.stopping }
 
-// Stopping reports whether the graceful shutdown has started.
-func (s *State) Stopping() bool { return s.stopping }
-
 // Version returns the version of the configuration in force, 0 for none.
 func (s *State) Version() uint64 {
 	if s.config == nil {
@@ -175,7 +171,7 @@
 	s.dropRoutes()
 	for name, svc := range s.services {
 		c, ok := e.Config.Services[name]
-		svc.configure(c)
+		svc.config = c
 		if !ok && len(svc.servers) == 0 && len(svc.queue) == 0 {
 			delete(s.services, name)
 		}
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -31,10 +31,7 @@
 		s.daemons[e.Name] = d
 		s.emit(Log{Kind: LogDaemonSeen, Subject: e.Name, Detail: e.FailureDomain})
 		if alive {
-			d.heardAt = s.now
-		}
-		if alive && e.StoreDown {
-			s.members.outageHeardAt = s.now
+			s.heard(d)
 		}
 		s.members.changed = true
 		return d
@@ -58,19 +55,24 @@
 		e.CallerAddress, e.PeerAddress, e.FailureDomain, e.Cores = d.CallerAddress, d.PeerAddress, d.FailureDomain, d.Cores
 	}
 	d.DaemonEntry = e
-	if alive && e.StoreDown {
-		s.members.outageHeardAt = s.now
-	}
 	if alive {
-		d.heardAt = s.now
-		if d.silent {
-			d.silent = false
-			s.emit(Log{Kind: LogDaemonSeen, Subject: d.Name, Detail: d.FailureDomain})
-		}
+		s.heard(d)
 	}
 	return d
 }
 
+// heard notes a sign of life of a daemon.
+func (s *State) heard(d *daemon) {
+	d.heardAt = s.now
+	if d.StoreDown {
+		s.members.outageHeardAt = s.now
+	}
+	if d.silent {
+		d.silent = false
+		s.emit(Log{Kind: LogDaemonSeen, Subject: d.Name, Detail: d.FailureDomain})
+	}
+}
+
 // outlive takes a greater incarnation than the one that others know of this
 // daemon's name.
 func (s *State) outlive(known DaemonEntry) {
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -165,14 +166,9 @@
 	s.chooseActive()
 }
 
-func (s *State) daemonNames() []string {
-	names := make([]string, 0, len(s.daemons))
-	for name := range s.daemons {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+// daemonNames returns the names of the other daemons in order, so that effects do
+// not depend on the order of a map.
+func (s *State) daemonNames() []string { return slices.Sorted(maps.Keys(s.daemons)) }
 
 func (s *State) alive(d *daemon) bool {
 	silence := s.opt.Silence
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -49,7 +49,7 @@
 	if !ok {
 		svc = &service{name: name}
 		if s.config != nil {
-			svc.configure(s.config.Services[name])
+			svc.config = s.config.Services[name]
 		}
 		svc.tokens = min(startTokens, s.tokenLimit())
 		s.services[name] = svc
@@ -57,8 +57,6 @@
 	return svc
 }
 
-func (svc *service) configure(c ServiceConfig) { svc.config = c }
-
 func (svc *service) remove(srv *server) {
 	svc.servers = slices.DeleteFunc(svc.servers, func(x *server) bool { return x == srv })
 }
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -123,15 +123,9 @@
 // or other daemons bring the rest, and daemons that have just started are many
 // when a fleet starts.
 func (f *Follower) firstList(ctx context.Context, kind Kind) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	objects, revision, err := f.store.List(ctx, kind, true)
-	if err != nil {
+	if err := f.list(ctx, kind, true); err != nil {
 		f.note(err)
-		return
 	}
-	f.note(nil)
-	f.replace(kind, newFollowed(objects, revision), sourceStore, f.afterOutage())
 }
 
 // awaitTurn waits until the kind is to be asked for at the store. While calls
@@ -158,12 +152,17 @@
 
 // tryConfig cuts the watch of the configuration short, since the loops of the
 // other kinds wait for it to work after a failure.
-func (f *Follower) tryConfig() {
+func (f *Follower) tryConfig() { f.cutShort(KindConfig) }
+
+// cutShort ends the watches of kinds, which are then made anew with a short wait.
+func (f *Follower) cutShort(kinds ...Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refresh[KindConfig] = true
-	if cancel, ok := f.waiting[KindConfig]; ok {
-		cancel()
+	for _, kind := range kinds {
+		f.refresh[kind] = true
+		if cancel, ok := f.waiting[kind]; ok {
+			cancel()
+		}
 	}
 	f.wake()
 }
@@ -194,7 +193,7 @@
 	f.mu.Unlock()
 	defer cancel()
 	if !ok {
-		return f.list(ctx, kind)
+		return f.list(ctx, kind, false)
 	}
 	changes, revision, err := f.store.Watch(ctx, kind, known.Revision, wait)
 	if err != nil {
@@ -234,22 +233,12 @@
 
 // Refresh asks the store anew because another daemon knows of a change that the
 // own watches did not bring.
-func (f *Follower) Refresh() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, kind := range []Kind{KindConfig, KindServers, KindEvacuations} {
-		f.refresh[kind] = true
-		if cancel, ok := f.waiting[kind]; ok {
-			cancel()
-		}
-	}
-	f.wake()
-}
+func (f *Follower) Refresh() { f.cutShort(KindConfig, KindServers, KindEvacuations) }
 
-func (f *Follower) list(ctx context.Context, kind Kind) error {
+func (f *Follower) list(ctx context.Context, kind Kind, mayBeStale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	objects, revision, err := f.store.List(ctx, kind, false)
+	objects, revision, err := f.store.List(ctx, kind, mayBeStale)
 	if err != nil {
 		return err
 	}
