One way to look at what waits on a connection

leafconn and edge peeked with code of their own. leafconn's closed idle connections once the deadline of their last exchange had passed, because a read past a deadline fails; that bound is explicit now and the same as before.

--- a/pkg/edge/conns.go
+++ b/pkg/edge/conns.go
@@ -5,8 +5,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/netpeek"
 )
 
 // CallerConns tracks the connections of callers. It closes those that are idle
@@ -92,7 +93,11 @@
 // closeIdle closes a connection that is idle and on which nothing waits to be
 // read. The caller holds the lock.
 func (t *CallerConns) closeIdle(cc *callerConn) {
-	if !cc.idle || cc.closed || hasInput(cc.conn) {
+	if !cc.idle || cc.closed {
+		return
+	}
+	// A connection that cannot be looked at is closed like a quiet one.
+	if waiting, err := netpeek.Peek(cc.conn); err == nil && waiting == netpeek.Input {
 		return
 	}
 	cc.closed = true
@@ -134,22 +139,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// hasInput reports whether bytes wait to be read on a connection.
-func hasInput(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waits = err == nil && n > 0
-	})
-	return err == nil && waits
-}
--- a/pkg/leafconn/conn.go
+++ b/pkg/leafconn/conn.go
@@ -3,8 +3,9 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/netpeek"
 )
 
 // readBuffer is small because hundreds of connections are kept and most answers
@@ -29,20 +30,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	waiting, err := netpeek.Peek(c.Conn)
+	return err == nil && waiting == netpeek.Nothing
 }
--- a/pkg/leafconn/exchange.go
+++ b/pkg/leafconn/exchange.go
@@ -143,7 +143,8 @@
 // exchange sends the request and reads the answer. keep is how long the
 // connection may be idle afterwards; 0 if it must be closed.
 func (p *Pool) exchange(x *Exchange, c *conn) (a *Answer, keep time.Duration, err error) {
-	if err := c.SetDeadline(time.Now().Add(x.Wait + lateAnswer)); err != nil {
+	deadline := time.Now().Add(x.Wait + lateAnswer)
+	if err := c.SetDeadline(deadline); err != nil {
 		return nil, 0, fmt.Errorf("%w: %w", ErrConnect, err)
 	}
 	if x.Begin != nil && !x.Begin() {
@@ -166,7 +167,9 @@
 		if resp.Close || foreign > 0 || c.reader.Buffered() > 0 {
 			keep = 0
 		} else {
-			keep = idleTime(resp.Header)
+			// Not past the time of this exchange: the longer a connection is idle, the
+			// likelier the leaf has dropped it without notice.
+			keep = min(idleTime(resp.Header), time.Until(deadline))
 		}
 		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
 	}
