Link the runtime to the store and the other daemons directly

Five forwarding methods broke the circle between them, two of them under the name of the other daemons though they direct the store's follower. The runtime now gets both links before its first event.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -19,7 +19,7 @@
 	log      func(gateway.Log)
 	observer Observer
 	peers    PeerLink
-	store    StoreActions
+	store    StoreLink
 	start    time.Time
 
 	mu      sync.Mutex
@@ -37,8 +37,6 @@
 type PeerLink interface {
 	Gossip(to []string, entries []gateway.DaemonEntry)
 	FetchView(from string)
-	RefreshView()
-	WatchStore(on bool)
 }
 
 // Observer counts what happens. Its methods do not wait.
@@ -47,8 +45,14 @@
 	Call(service string, outcome gateway.Outcome, took time.Duration)
 }
 
-// StoreActions are the writes that the reducer asks for. They do not wait.
-type StoreActions interface {
+// StoreLink is how the reducer directs the following of the store. Its methods
+// do not wait.
+type StoreLink interface {
+	// SetWatching makes this daemon watch the store, or leave that to others.
+	SetWatching(on bool)
+	// Refresh asks the store anew for what watches should have brought.
+	Refresh()
+	// RemoveDaemon deletes the entry of a daemon.
 	RemoveDaemon(name string)
 }
 
@@ -59,16 +63,14 @@
 	Pool     *leafconn.Pool
 	Log      func(gateway.Log)
 	Observer Observer
-	Peers    PeerLink
-	Store    StoreActions
 	// OnLimits is told of the limits of each configuration; it must not wait.
 	OnLimits func(gateway.Limits)
 }
 
-// New returns a Runtime. Peers and Store may call it at once.
+// New returns a Runtime, which needs Link before the first event.
 func New(c Config) *Runtime {
 	r := &Runtime{
-		protocol: c.Protocol, pool: c.Pool, log: c.Log, observer: c.Observer, peers: c.Peers, store: c.Store,
+		protocol: c.Protocol, pool: c.Pool, log: c.Log, observer: c.Observer,
 		start: time.Now(), core: c.Core, onLimit: c.OnLimits,
 		pending: map[gateway.QueryID]*pending{},
 		calls:   map[gateway.CallID]*leafconn.Exchange{},
@@ -78,6 +80,10 @@
 	return r
 }
 
+// Link connects the runtime with the other daemons and the store, which post
+// their events to it.
+func (r *Runtime) Link(peers PeerLink, store StoreLink) { r.peers, r.store = peers, store }
+
 // Post applies an event and carries out its effects, none of which wait.
 func (r *Runtime) Post(e gateway.Event) {
 	r.mu.Lock()
@@ -115,9 +121,9 @@
 	case gateway.FetchView:
 		r.peers.FetchView(e.From)
 	case gateway.WatchStore:
-		r.peers.WatchStore(e.On)
+		r.store.SetWatching(e.On)
 	case gateway.RefreshView:
-		r.peers.RefreshView()
+		r.store.Refresh()
 	case gateway.ApplyLimits:
 		r.limits = e.Limits
 		r.onLimit(e.Limits)
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -122,9 +122,8 @@
 	d.pool = leafconn.NewPool(m.opened.Inc)
 	d.conns = edge.NewCallerConns()
 	lines := &logs{out: d.log, metrics: m}
-	link := &lateLinks{d: d}
 	d.runtime = edge.New(edge.Config{
-		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Observer: m, Peers: link, Store: link,
+		Core: core, Protocol: p.Protocol, Pool: d.pool, Log: lines.write, Observer: m,
 		OnLimits: func(l gateway.Limits) { d.conns.SetIdleLimit(l.IdleTimeout) },
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
@@ -133,6 +132,7 @@
 	})
 	registerStatus(d.registry, d.status, d.log.Dropped)
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.peerFailed)
+	d.runtime.Link(d.peers, d.follower)
 	d.callers = &http.Server{
 		Handler: d.conns.Handler(d.runtime), ReadHeaderTimeout: headerTimeout,
 		ConnState: d.conns.ConnState, ConnContext: d.conns.ConnContext,
@@ -140,24 +140,6 @@
 	return d
 }
 
-// lateLinks breaks the circle between the runtime and what it calls.
-type lateLinks struct{ d *daemon }
-
-// Gossip implements edge.PeerLink.
-func (l *lateLinks) Gossip(to []string, entries []gateway.DaemonEntry) { l.d.peers.Gossip(to, entries) }
-
-// FetchView implements edge.PeerLink.
-func (l *lateLinks) FetchView(from string) { l.d.peers.FetchView(from) }
-
-// RefreshView implements edge.PeerLink.
-func (l *lateLinks) RefreshView() { l.d.follower.Refresh() }
-
-// WatchStore implements edge.PeerLink.
-func (l *lateLinks) WatchStore(on bool) { l.d.follower.SetWatching(on) }
-
-// RemoveDaemon implements edge.StoreActions.
-func (l *lateLinks) RemoveDaemon(name string) { l.d.follower.RemoveDaemon(name) }
-
 func (d *daemon) invalidObject(kind edge.Kind, name string, err error) {
 	d.log.Write(logevent.EdgeObjectInvalid, []logevent.Field{
 		logevent.Str("kind", kind), logevent.Str("name", name), logevent.Str("error", err.Error()),
