Give the slot of a cut-off call back when its server has ended it

Cause: the owner freed the slot 20 ms after it cut a call off. The client now closes such a connection for writing and waits until the server closes its side; the reducer holds the slot until then (BackendReleased). Ruled out: the load in answers, which counts calls that may not have arrived yet, so that it tells nothing of one call; the status, which lags. Load in tests of processes comes from eight sessions in place of one, which TestPausedDaemon needs: its only session could keep the paused daemon's address.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn}, nil
+	return newCountedConn(conn.(*net.TCPConn)), nil
 }
 
 // newPool returns a pool of at most limit connections. It speaks HTTP/1.1
--- a/pkg/backend/replay_test.go
+++ b/pkg/backend/replay_test.go
@@ -258,6 +258,41 @@
 	}
 }
 
+// Guards against a server that is taken to have ended a search that was given
+// up while it still works on it, and against one that is never taken to.
+func TestGivenUpSearchTellsOfItsEnd(t *testing.T) {
+	const noticed = 200 * time.Millisecond
+	working := make(chan net.Conn, 1)
+	s := serve(t, func(c net.Conn, n int64, _ []byte) bool {
+		if n > 1 {
+			return writeReply(c, http.StatusOK, goodBody)
+		}
+		io.Copy(io.Discard, c)
+		working <- c
+		// The server is short of processor time and sees the cancel late.
+		time.Sleep(noticed)
+		return false
+	})
+	c := New()
+	defer c.Close()
+	r := search(t, c, s.address, 50*time.Millisecond)
+	if r.Result.Outcome != model.OutcomeTimeout || r.Ended == nil {
+		t.Fatalf("outcome %v, ended %v", r.Result.Outcome, r.Ended)
+	}
+	<-working
+	select {
+	case <-r.Ended:
+		t.Error("the search ended while the server worked on it")
+	case <-time.After(noticed / 2):
+	}
+	if ended := <-r.Ended; !ended {
+		t.Error("the server's end of the connection was not noticed")
+	}
+	if r := search(t, c, s.address, time.Second); r.Result.Outcome != model.OutcomeOK || r.Ended != nil {
+		t.Errorf("answered search: outcome %v, ended %v", r.Result.Outcome, r.Ended)
+	}
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(2 * time.Second); !ok(); time.Sleep(time.Millisecond) {
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -23,6 +23,10 @@
 	Draining bool
 	// Err explains an outcome other than OutcomeOK.
 	Err error
+	// Ended is not nil if the search was given up after it was sent. It gets one
+	// value: true when the server has ended the connection, and so does not work on
+	// the search any more, false if it has not within some seconds.
+	Ended <-chan bool
 }
 
 // ErrMismatch means that a response belongs to another request.
@@ -83,10 +87,23 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.pool(sub.Server, address).http.Do(req)
 	if err != nil {
-		return sendFailure(ctx, trace.abandon(), err)
+		return trace.giveUp(ctx, err)
 	}
 	defer resp.Body.Close()
-	return readReply(ctx, id, sub, resp)
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return trace.giveUp(ctx, err)
+	}
+	trace.answered()
+	return readReply(id, sub, resp, answer)
+}
+
+// giveUp ends a request without a complete response.
+func (t *sendTrace) giveUp(ctx context.Context, err error) Reply {
+	sent, ended := t.abandon()
+	reply := sendFailure(ctx, sent, err)
+	reply.Ended = ended
+	return reply
 }
 
 func failure(outcome model.Outcome, err error) Reply {
@@ -120,13 +137,9 @@
 	return model.OutcomeLost
 }
 
-// readReply translates a response. A broken or foreign body may belong to a
-// request that ran.
-func readReply(ctx context.Context, id string, sub *model.SubRequest, resp *http.Response) Reply {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
-	if err != nil {
-		return failure(interrupted(ctx, err), err)
-	}
+// readReply translates a response. A foreign body may belong to a request that
+// ran.
+func readReply(id string, sub *model.SubRequest, resp *http.Response, body []byte) Reply {
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return readResult(id, sub, body)
--- a/pkg/core/event/event.go
+++ b/pkg/core/event/event.go
@@ -148,6 +148,16 @@
 		Draining bool
 		// Load is the number of requests that the server says it runs.
 		Load int
+		// SlotHeld means that the server may still work on the request;
+		// BackendReleased follows.
+		SlotHeld bool
+	}
+	// BackendReleased ends the wait for the slot of a call that was cut off.
+	BackendReleased struct {
+		Server model.ServerName
+		// Ended means that the server has ended the call's connection, and so does
+		// not work on it any more; otherwise it is not known.
+		Ended bool
 	}
 	// BackendStatus ends an effect.PollBackend. Such reports lag.
 	BackendStatus struct {
@@ -293,6 +303,7 @@
 func (SubResultArrived) isEvent()  {}
 func (ExecuteEnded) isEvent()      {}
 func (BackendAnswered) isEvent()   {}
+func (BackendReleased) isEvent()   {}
 func (BackendStatus) isEvent()     {}
 func (HeartbeatArrived) isEvent()  {}
 func (HeartbeatAnswered) isEvent() {}
--- a/pkg/core/route.go
+++ b/pkg/core/route.go
@@ -49,6 +49,8 @@
 		s.slots.CancelArrived(m, e, out)
 	case event.ExecuteGone:
 		s.slots.ExecuteGone(m, e, out)
+	case event.BackendReleased:
+		s.slots.BackendReleased(m, e, out)
 	case event.BackendAnswered:
 		s.slots.BackendAnswered(m, e, out)
 	case event.BackendStatus:
--- a/pkg/core/slots/answer.go
+++ b/pkg/core/slots/answer.go
@@ -35,7 +35,7 @@
 		return
 	}
 	v := t.server
-	s.freeSlot(m, v, e.Result.Outcome)
+	s.freeSlot(m, v, e)
 	s.learn(m, t, e, out)
 	r := e.Result
 	r.QueueTime = t.sent.Sub(t.arrived)
@@ -48,13 +48,43 @@
 
 // freeSlot gives the slot back, later if the call was cut off: the server may
 // not have noticed yet.
-func (s *State) freeSlot(m event.Meta, v *server, outcome model.Outcome) {
+func (s *State) freeSlot(m event.Meta, v *server, e event.BackendAnswered) {
 	v.running--
-	switch outcome {
+	if e.SlotHeld {
+		v.held++
+		if !v.watched {
+			v.watched = true
+			s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v, held: true})
+		}
+		return
+	}
+	switch e.Result.Outcome {
 	case model.OutcomeCanceled, model.OutcomeTimeout, model.OutcomeFailed, model.OutcomeLost, model.OutcomeUnknown:
-		v.settling++
-		s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v})
+		s.settleLater(m, v)
+	}
+}
+
+// settleLater frees a slot after the time in which servers notice that a call
+// was cut off.
+func (s *State) settleLater(m event.Meta, v *server) {
+	v.settling++
+	s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v})
+}
+
+// BackendReleased frees the slot of a call that was cut off. A server that has
+// not ended it may be frozen; then the slot waits for a sign of life.
+func (s *State) BackendReleased(m event.Meta, e event.BackendReleased, out *effect.List) {
+	v, ok := s.servers[e.Server]
+	if !ok || v.held == 0 {
+		out.Log(logevent.SlotsUnknownAnswer, logevent.Str("server", e.Server))
+		return
+	}
+	v.held--
+	if !e.Ended {
+		s.settleLater(m, v)
+		return
 	}
+	s.pump(m, v, out)
 }
 
 // settleSlots frees the slots of cut-off calls whose time has come. Those of a
@@ -67,9 +97,17 @@
 	}
 	for _, slot := range s.settling[:due] {
 		v := slot.server
-		if v.owned && v.silentSince != 0 {
+		silent := v.owned && v.silentSince != 0
+		if silent {
 			s.awaitSign(m, v, out)
-			s.settling = append(s.settling, settlingSlot{at: m.Now.Add(s.settle), server: v})
+		}
+		if silent && !slot.held || slot.held && v.held > 0 {
+			slot.at = m.Now.Add(s.settle)
+			s.settling = append(s.settling, slot)
+			continue
+		}
+		if slot.held {
+			v.watched = false
 			continue
 		}
 		v.settling--
--- a/pkg/core/slots/invariant_test.go
+++ b/pkg/core/slots/invariant_test.go
@@ -19,7 +19,7 @@
 
 var commands = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) command {
 	number := rapid.IntRange(0, 999)
-	return command{rapid.IntRange(0, 11).Draw(t, "kind"), number.Draw(t, "a"), number.Draw(t, "b"), number.Draw(t, "c")}
+	return command{rapid.IntRange(0, 12).Draw(t, "kind"), number.Draw(t, "a"), number.Draw(t, "b"), number.Draw(t, "c")}
 }), 40, 300)
 
 var outcomes = []model.Outcome{
@@ -37,7 +37,10 @@
 			Deadline: w.now.Add(time.Duration(c.c*c.c) * time.Millisecond / 10),
 		})
 	case 3, 4, 5:
-		if len(w.calls) > 0 {
+		if held, i, outcome := w.holds(c); held {
+			w.held[w.calls[i].sub.Server]++
+			w.cutOff(i, outcome)
+		} else if len(w.calls) > 0 {
 			w.answer(c.a%len(w.calls), outcomes[c.b%len(outcomes)], c.c%5 == 0)
 		}
 	case 6:
@@ -66,7 +69,23 @@
 		w.status(event.BackendStatus{Server: server, Draining: c.b%4 == 0, Cold: c.c%3 == 0})
 	case 11:
 		w.advance(time.Duration(c.b%10*c.c) * 100 * time.Microsecond)
+	case 12:
+		if w.held[server] > 0 {
+			w.held[server]--
+			w.released(server, true)
+		}
+	}
+}
+
+// holds reports whether a command cuts off a call of which the server tells
+// when it has ended it, and which call and outcome that is.
+func (w *world) holds(c command) (held bool, call int, outcome model.Outcome) {
+	if len(w.calls) == 0 {
+		return false, 0, 0
 	}
+	outcome = outcomes[c.b%len(outcomes)]
+	cut := outcome == model.OutcomeCanceled || outcome == model.OutcomeTimeout
+	return cut && c.c%2 == 0, c.a % len(w.calls), outcome
 }
 
 func simulate(t *testing.T, rt *rapid.T, cs []command) *world {
@@ -84,6 +103,7 @@
 				running++
 			}
 		}
+		running += w.held[c.sub.Server]
 		for _, at := range stopping[c.sub.Server] {
 			if w.now < at {
 				running++
@@ -104,8 +124,9 @@
 	}
 	for _, c := range cs {
 		before := w.calls
+		held, _, _ := w.holds(c)
 		w.run(c)
-		if c.kind >= 3 && c.kind <= 5 && len(before) > 0 {
+		if !held && c.kind >= 3 && c.kind <= 5 && len(before) > 0 {
 			ended := before[c.a%len(before)]
 			switch outcomes[c.b%len(outcomes)] {
 			case model.OutcomeCanceled, model.OutcomeTimeout, model.OutcomeFailed:
@@ -116,6 +137,11 @@
 	for len(w.calls) > 0 {
 		w.answer(0, model.OutcomeOK, false)
 	}
+	for _, server := range w.facts.bundle.Servers {
+		for ; w.held[server.Name] > 0; w.released(server.Name, true) {
+			w.held[server.Name]--
+		}
+	}
 	w.advance(5 * time.Second)
 	for len(w.calls) > 0 {
 		w.answer(0, model.OutcomeOK, false)
--- a/pkg/core/slots/server.go
+++ b/pkg/core/slots/server.go
@@ -33,10 +33,14 @@
 	// definition then.
 	removed bool
 	queue   queue
-	// running are calls without an answer; settling are slots of stopped calls
-	// that the server may not have noticed yet.
+	// running are calls without an answer. The others are slots of stopped calls
+	// that the server may not have noticed yet: settling ones are free after a
+	// time, held ones when the server has ended the call.
 	running  int
 	settling int
+	held     int
+	// watched means that a look for a sign of life is due because of held slots.
+	watched bool
 
 	ramp     ramp
 	adaptive adaptive
@@ -111,7 +115,7 @@
 type refusalCounts [model.OutcomeUnreachable + 1]int
 
 // taken returns the slots that this daemon's work takes.
-func (v *server) taken() int { return v.running + v.settling }
+func (v *server) taken() int { return v.running + v.settling + v.held }
 
 // limit returns how many sub-requests this daemon may run at once.
 func (v *server) limit(daemons int) int {
--- a/pkg/core/slots/slots.go
+++ b/pkg/core/slots/slots.go
@@ -96,9 +96,12 @@
 	gone bool
 }
 
+// settlingSlot is a slot that is free at a time, or, if held, the next look for
+// a sign of life of a server with held slots.
 type settlingSlot struct {
 	at     model.Time
 	server *server
+	held   bool
 }
 
 // New returns a state without servers; Refresh fills it.
--- a/pkg/core/slots/world_test.go
+++ b/pkg/core/slots/world_test.go
@@ -74,7 +74,9 @@
 	// last tells for each stream with results whether it was closed.
 	last    map[event.Stream]bool
 	attempt model.AttemptID
-	record  []effect.Effect
+	// held counts calls that were cut off and not yet ended by their server.
+	held   map[model.ServerName]int
+	record []effect.Effect
 	// onCall sees each call before it is recorded.
 	onCall func(call)
 }
@@ -110,6 +112,7 @@
 
 		answered: map[attemptKey]model.Outcome{},
 		canceled: map[attemptKey]bool{},
+		held:     map[model.ServerName]int{},
 	}
 	w.state = New(&Config{View: w.facts})
 	for i := range b.Servers {
@@ -200,6 +203,25 @@
 
 // answer ends the i-th open call.
 func (w *world) answer(i int, outcome model.Outcome, cold bool) {
+	w.t.Helper()
+	w.end(i, outcome, cold, false)
+}
+
+// cutOff ends the i-th open call, at which the server may still work.
+func (w *world) cutOff(i int, outcome model.Outcome) {
+	w.t.Helper()
+	w.end(i, outcome, false, true)
+}
+
+// released tells how the wait for the slot of a call that was cut off ended.
+func (w *world) released(server model.ServerName, ended bool) {
+	w.t.Helper()
+	w.step(func(m event.Meta, out *effect.List) {
+		w.state.BackendReleased(m, event.BackendReleased{Server: server, Ended: ended}, out)
+	})
+}
+
+func (w *world) end(i int, outcome model.Outcome, cold, held bool) {
 	w.t.Helper()
 	c := w.calls[i]
 	w.calls = append(w.calls[:i:i], w.calls[i+1:]...)
@@ -211,7 +233,7 @@
 	}
 	w.answered[attemptKey{c.from, c.sub.Attempt}] = r.Outcome
 	w.step(func(m event.Meta, out *effect.List) {
-		w.state.BackendAnswered(m, event.BackendAnswered{From: c.from, Result: r, Cold: cold, Draining: draining}, out)
+		w.state.BackendAnswered(m, event.BackendAnswered{From: c.from, Result: r, Cold: cold, Draining: draining, SlotHeld: held}, out)
 	})
 }
 
--- a/pkg/runtime/backends.go
+++ b/pkg/runtime/backends.go
@@ -28,7 +28,7 @@
 }
 
 // callBackend runs a sub-request at its server. Each call ends in exactly one
-// BackendAnswered. An attempt that is already running is not started again: a
+// BackendAnswered, which BackendReleased may follow. An attempt that is already running is not started again: a
 // peer that repeats an attempt id must not run a request twice.
 func (l *Loop) callBackend(e effect.CallBackend) {
 	key := backendCall{from: e.From, attempt: e.Sub.Attempt}
@@ -38,7 +38,7 @@
 		l.log(logevent.RuntimeDuplicate, logevent.Str("from", e.From.String()), logevent.Int("attempt", e.Sub.Attempt))
 		return
 	}
-	l.start(func(context.Context) {
+	l.start(func(loop context.Context) {
 		defer cancel()
 		reply := l.cfg.Backends.Search(ctx, e.Address, e.From, &e.Sub, l.clock.wall(e.Deadline))
 		l.calls.remove(key)
@@ -49,7 +49,16 @@
 			Cold:     reply.Cold,
 			Draining: reply.Draining,
 			Load:     reply.Load,
+			SlotHeld: reply.Ended != nil,
 		})
+		if reply.Ended == nil {
+			return
+		}
+		select {
+		case ended := <-reply.Ended:
+			l.post(event.BackendReleased{Server: e.Sub.Server, Ended: ended})
+		case <-loop.Done():
+		}
 	})
 }
 
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -47,7 +47,7 @@
 	for _, body := range []event.Body{
 		event.QueryArrived{}, event.QueryAbandoned{}, event.LookupArrived{}, event.ForwardAnswered{},
 		event.ExecuteArrived{}, event.CancelArrived{}, event.ExecuteGone{}, event.SubResultArrived{}, event.ExecuteEnded{},
-		event.BackendAnswered{}, event.BackendStatus{},
+		event.BackendAnswered{}, event.BackendReleased{}, event.BackendStatus{},
 		event.HeartbeatArrived{}, event.HeartbeatAnswered{}, event.HeartbeatFailed{},
 		event.ExchangeArrived{}, event.ExchangeAnswered{}, event.HandoverArrived{}, event.HandoverAnswered{},
 		event.DocumentRequested{}, event.DocumentArrived{}, event.DocumentFailed{},
--- a/standin/processes/load.go
+++ b/standin/processes/load.go
@@ -20,8 +20,12 @@
 	callerPatience = 500 * time.Millisecond
 	// DefaultRate is the rate of queries and half of that of orders, per second.
 	DefaultRate = 40
-	topK        = 10
-	queryText   = "leather spine folio"
+	// sessions is the number of callers, each of which keeps lookups of its own: a
+	// single one would send all requests to one daemon for as long as a lookup is
+	// kept.
+	sessions  = 8
+	topK      = 10
+	queryText = "leather spine folio"
 )
 
 // Request is a request of the load and how it ended.
@@ -47,12 +51,13 @@
 // Complete reports whether the answer covers all shards.
 func (r *Request) Complete() bool { return r.Answer != nil && r.Answer.Complete }
 
-// Load sends queries and orders at a steady rate, whatever the answers, as a
-// session of well-behaved callers.
+// Load sends queries and orders at a steady rate, whatever the answers, as
+// well-behaved callers that take turns.
 type Load struct {
-	session *api.Session
-	cancel  context.CancelFunc
-	sending sync.WaitGroup
+	sessions []*api.Session
+	turn     atomic.Uint64
+	cancel   context.CancelFunc
+	sending  sync.WaitGroup
 	// connectErrors counts requests, not lookups, that failed without an HTTP
 	// response.
 	connectErrors atomic.Int64
@@ -67,7 +72,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Load{cancel: cancel}
 	transport := &http.Transport{MaxIdleConnsPerHost: 64}
-	l.session = api.NewSession(&api.Client{HTTP: &http.Client{Transport: &counted{base: transport, load: l}}}, t.Callers())
+	client := &api.Client{HTTP: &http.Client{Transport: &counted{base: transport, load: l}}}
+	for range sessions {
+		l.sessions = append(l.sessions, api.NewSession(client, t.Callers()))
+	}
 	l.sending.Go(func() { l.send(ctx, ServiceArchive, true, time.Second/time.Duration(rate)) })
 	l.sending.Go(func() { l.send(ctx, ServiceOrders, false, 2*time.Second/time.Duration(rate)) })
 	return l
@@ -105,7 +113,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryDeadline+callerPatience)
 	defer cancel()
 	r := &Request{Service: service, Idempotent: idempotent, Sent: time.Now()}
-	r.Answer, r.ID, r.Err = l.session.Query(ctx, service, api.QueryRequest{
+	session := l.sessions[l.turn.Add(1)%sessions]
+	r.Answer, r.ID, r.Err = session.Query(ctx, service, api.QueryRequest{
 		Caller: Caller, Idempotent: idempotent, DeadlineMS: queryDeadline.Milliseconds(), Query: queryText, TopK: topK,
 	})
 	r.Ended = time.Now()
