--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 )
@@ -77,7 +78,8 @@
 // daemon's name.
 func (s *State) outlive(known DaemonEntry) {
 	self := &s.opt.Self
-	if known.Incarnation > self.Incarnation {
+	// The greatest number cannot be outlived and is no daemon's.
+	if known.Incarnation > self.Incarnation && known.Incarnation < math.MaxUint64 {
 		self.Incarnation = known.Incarnation + 1
 		s.members.changed = true
 	}
--- /dev/null
+++ b/pkg/edge/fuzz_test.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"bufio"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
+)
+
+// fuzzState is the reducer of a daemon that knows one other daemon.
+func fuzzState() *gateway.State {
+	return gateway.New(gateway.Options{
+		Self:     gateway.DaemonEntry{Name: "d1", Incarnation: 5, PeerAddress: "d1:70", CallerAddress: "d1:80", FailureDomain: "a"},
+		RegionOf: map[string]string{"a": "north"}, RetryRatio: 0.2, RetrySlack: 20, Silence: time.Second,
+	})
+}
+
+// Guards against datagrams that make a daemon panic, forget itself or tell of
+// itself with an earlier incarnation.
+func FuzzGossip(f *testing.F) {
+	f.Add(`[{"n":"d2","i":7,"c":1,"a":"d2:80","p":"d2:70","d":"b","s":1,"v":3,"r":9,"k":0.4,"l":100}]`)
+	f.Add(`[{"n":"d1","i":9,"p":"d1:70"}]`)
+	f.Add(`[{"n":"d1","i":18446744073709551615,"p":"d1:70"}]`)
+	f.Add(`[{"n":"d2","i":1,"c":1,"p":"127.0.0.1:70"},{"n":"d1","i":18446744073709551615,"p":"d1:70"}]`)
+	f.Add(`[{"n":"d2","i":1,"c":1,"p":"x"},{"n":"d2","i":1,"c":2}]`)
+	f.Fuzz(func(t *testing.T, text string) {
+		entries, err := decodeGossip([]byte(text))
+		if err != nil {
+			return
+		}
+		s := fuzzState()
+		last := uint64(0)
+		for i := range 4 {
+			now := model.Time(time.Duration(i+1) * time.Second)
+			effects := s.Step(now, gateway.GossipReceived{Daemons: entries})
+			effects = append(append([]gateway.Effect(nil), effects...), s.Step(now, gateway.Tick{})...)
+			for _, e := range effects {
+				g, ok := e.(gateway.Gossip)
+				if !ok || len(g.Daemons) == 0 {
+					continue
+				}
+				self := g.Daemons[0]
+				if self.Name != "d1" || self.Incarnation < last || self.Incarnation < 5 {
+					t.Fatalf("tells of itself as %+v, before with incarnation %d", self, last)
+				}
+				last = self.Incarnation
+			}
+		}
+	})
+}
+
+// Guards against a view of another daemon that makes a follower panic or lose
+// an object that the view does not delete.
+func FuzzView(f *testing.F) {
+	f.Add(`{"kinds":{"servers":{"revision":9,"changed":9,"objects":{"i-2":{"name":"i-2","revision":9,"value":{}}},"deleted":{"i-3":8},"since":4}}}`)
+	f.Add(`{"kinds":{"servers":{"revision":9,"objects":null,"deleted":null}},"afterOutage":true}`)
+	f.Add(`{"kinds":{"config":{"revision":18446744073709551615,"objects":{"main":{"name":"main","value":{"version":7}}}}}}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var view View
+		if json.Unmarshal([]byte(text), &view) != nil {
+			return
+		}
+		follower := NewFollower(FollowerConfig{
+			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {}, SetView: func(uint64) {},
+			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
+		})
+		follower.replace(KindServers, newFollowed([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, 5), sourceStore, false)
+		have := follower.Revisions()
+		follower.Adopt(view, have)
+		known := follower.View(nil).Kinds[KindServers]
+		theirs, told := view.Kinds[KindServers]
+		_, deleted := theirs.Deleted["i-1"]
+		whole := told && theirs.Revision > have[KindServers] && (theirs.Since == 0 || theirs.Since > have[KindServers])
+		if _, ok := known.Objects["i-1"]; !ok && !deleted && !whole {
+			t.Fatalf("i-1 is lost; view %+v", view)
+		}
+		if known.Revision < have[KindServers] {
+			t.Fatalf("revision went back to %d", known.Revision)
+		}
+		// What was adopted can be passed on.
+		if _, err := json.Marshal(follower.View(map[Kind]uint64{KindServers: math.MaxUint64})); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// anyDecoder accepts every value.
+type anyDecoder struct{}
+
+// Config implements Decoder.
+func (anyDecoder) Config(json.RawMessage) (*gateway.Config, error) { return &gateway.Config{}, nil }
+
+// Server implements Decoder.
+func (anyDecoder) Server(name string, _ json.RawMessage) (gateway.Server, error) {
+	return gateway.Server{ID: name, Service: "s", Slots: 1}, nil
+}
+
+// Guards against a caller's request whose headers for one connection reach a
+// leaf, or that changes method, path or host on the way.
+func FuzzCallerRequest(f *testing.F) {
+	f.Add("GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n")
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n3\r\nabc\r\n0\r\nT: 1\r\n\r\n")
+	f.Add("GET http://h/a HTTP/1.0\r\nkeep-alive: 1\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		p := &pending{request: req, header: passedOn(req.Header)}
+		out := p.leafRequest()
+		for _, name := range connectionHeaders {
+			if out.Header.Get(name) != "" {
+				t.Fatalf("header %s is passed on", name)
+			}
+		}
+		if out.Method != req.Method || out.URL.Opaque != req.RequestURI || out.Host != req.Host {
+			t.Fatalf("%s %s %s became %s %s %s", req.Method, req.Host, req.RequestURI, out.Method, out.Host, out.URL.Opaque)
+		}
+	})
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -99,19 +99,27 @@
 			p.onError("", err)
 			continue
 		}
-		var message []gossipEntry
-		if err := json.Unmarshal(buffer[:n], &message); err != nil {
+		entries, err := decodeGossip(buffer[:n])
+		if err != nil {
 			p.onError(from.String(), err)
 			continue
 		}
-		entries := make([]gateway.DaemonEntry, len(message))
-		for i, e := range message {
-			entries[i] = gateway.DaemonEntry(e)
-		}
 		p.post(gateway.GossipReceived{Daemons: entries})
 	}
 }
 
+func decodeGossip(data []byte) ([]gateway.DaemonEntry, error) {
+	var message []gossipEntry
+	if err := json.Unmarshal(data, &message); err != nil {
+		return nil, fmt.Errorf("edge: decode gossip: %w", err)
+	}
+	entries := make([]gateway.DaemonEntry, len(message))
+	for i, e := range message {
+		entries[i] = gateway.DaemonEntry(e)
+	}
+	return entries, nil
+}
+
 // FetchView reads another daemon's view in the background and adopts it.
 func (p *Peers) FetchView(from string) {
 	go func() {
