Measure the cost of log lines; end although the log output is blocked

A daemon whose output is not read answered all requests, but did not end: the last lines were written without a bound (TestRunEndsWithBlockedOutput failed). They have 0.2 s now.

--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -289,3 +289,38 @@
 		t.Errorf("answer %+v", a)
 	}
 }
+
+// Guards against requests that wait for a log output that nobody reads, and
+// against a daemon that does not end because of it.
+func TestBlockedLogOutput(t *testing.T) {
+	s := newSite(t)
+	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configure(route("/one/", "one"))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	d.stop()
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer read.Close()
+	defer write.Close()
+	d.output = write
+	d.start()
+	eventually(t, startBound, "ready", d.ready)
+	// Refusals are logged in full: more than pipe, buffer and queue hold.
+	for i := range 2000 {
+		if a := d.call("GET", "/nowhere/"+strings.Repeat("x", 200), "q", time.Second, ""); a.Status != http.StatusNotFound {
+			t.Fatalf("refusal %d: %+v", i, a)
+		}
+	}
+	if a := d.call("GET", "/one/x", "q", time.Second, ""); a.Status != http.StatusOK {
+		t.Errorf("answer %+v", a)
+	}
+	d.cancel()
+	select {
+	case <-d.done:
+	case <-time.After(d.settings.Stop):
+		t.Error("the daemon did not end in time")
+	}
+}
--- a/pkg/edged/harness_test.go
+++ b/pkg/edged/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -100,7 +101,9 @@
 	cancel   context.CancelFunc
 	done     chan struct{}
 	log      *lockedBuffer
-	client   *http.Client
+	// output gets the log in place of log, if set.
+	output io.Writer
+	client *http.Client
 }
 
 type lockedBuffer struct {
@@ -151,7 +154,10 @@
 func (d *daemon) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel, d.done, d.log = cancel, make(chan struct{}), &lockedBuffer{}
-	done, out := d.done, d.log
+	done, out := d.done, io.Writer(d.log)
+	if d.output != nil {
+		out = d.output
+	}
 	go func() {
 		defer close(done)
 		if err := edged.Run(ctx, d.settings, platform.Adapter(), out); err != nil {
--- a/pkg/logwriter/bench_test.go
+++ b/pkg/logwriter/bench_test.go
@@ -17,14 +17,30 @@
 	}
 }
 
+// edgeFields are those of an edge daemon's line of a partial answer.
+func edgeFields() []logevent.Field {
+	fields := []logevent.Field{
+		logevent.Str("request", "9c41d07be2a35f68"), logevent.Str("route", "r-q3ujdha"), logevent.Str("outcome", "partial"),
+		logevent.Str("why", "ziba41f:late@i-1a939ceaaa"),
+	}
+	for _, name := range []string{"elapsed_us", "config", "view_age_ms", "shards", "missing", "calls", "hedges", "retries", "budget_denied"} {
+		fields = append(fields, logevent.Int(name, 21))
+	}
+	return fields
+}
+
 // BenchmarkLogLine is the whole cost of one routing decision's log line: the
 // fields, the queue and the encoding, which the log goroutine does.
 func BenchmarkLogLine(b *testing.B) {
-	w := New(io.Discard, log.InfoLevel, nil)
-	b.ReportAllocs()
-	for b.Loop() {
-		w.Write(logevent.QueryRouted, routedFields())
-		w.write(<-w.lines)
+	for name, fields := range map[string]func() []logevent.Field{"daemon": routedFields, "edge": edgeFields} {
+		b.Run(name, func(b *testing.B) {
+			w := New(io.Discard, log.InfoLevel, nil)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.Write(logevent.QueryRouted, fields())
+				w.write(<-w.lines)
+			}
+		})
 	}
 }
 
--- a/pkg/logwriter/logwriter.go
+++ b/pkg/logwriter/logwriter.go
@@ -20,6 +20,9 @@
 	queue = 8192
 	// flushInterval is how long a line may stay in the buffer.
 	flushInterval = 200 * time.Millisecond
+	// drainLimit bounds the writing of the last lines, so that a process whose
+	// output is not read ends within its time to stop.
+	drainLimit = 200 * time.Millisecond
 	// bufferSize is the size of the output buffer in bytes.
 	bufferSize = 64 << 10
 )
@@ -83,8 +86,27 @@
 	}
 }
 
-// Run writes queued lines until ctx ends, and then those that are left.
+// Run writes queued lines until ctx ends, and then those that are left. An
+// output that takes nothing any more is waited for no longer than drainLimit.
 func (w *Writer) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(ctx)
+	}()
+	select {
+	case <-done:
+		return ctx.Err()
+	case <-ctx.Done():
+	}
+	select {
+	case <-done:
+	case <-time.After(drainLimit):
+	}
+	return ctx.Err()
+}
+
+func (w *Writer) run(ctx context.Context) {
 	flush := time.NewTicker(flushInterval)
 	defer flush.Stop()
 	for {
@@ -96,7 +118,7 @@
 		case <-ctx.Done():
 			w.drain()
 			w.flush()
-			return ctx.Err()
+			return
 		}
 	}
 }
--- a/pkg/logwriter/logwriter_test.go
+++ b/pkg/logwriter/logwriter_test.go
@@ -40,3 +40,21 @@
 	cancel()
 	<-done
 }
+
+// Guards against a process that cannot end because nobody reads its output.
+func TestRunEndsWithBlockedOutput(t *testing.T) {
+	out := blockedWriter{make(chan struct{})}
+	defer close(out.release)
+	w := New(out, log.DebugLevel, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	w.Write(logevent.RuntimeExit, nil)
+	time.Sleep(2 * flushInterval)
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(drainLimit + time.Second):
+		t.Error("Run waits for an output that takes nothing")
+	}
+}
