Refuse at arrival while leafs are overloaded

Ruled out: queues here (queued near 0), the retry budget (it denies as it should). A first form never recovered once it refused everything, and counted requests that were still open: TestThrottleUnderOverload and TestNoThrottleOnFailures failed. Series of routes are bounded like those of services.

--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -91,7 +91,7 @@
 		base = retryAfterStart
 	case RefusalNoServer:
 		base = retryAfterNoServer
-	case RefusalOverload:
+	case RefusalOverload, RefusalThrottled:
 		base = retryAfterOverload
 	default:
 		return 0
@@ -99,11 +99,18 @@
 	return base + time.Duration(s.rand.Float64()*float64(base))
 }
 
+// late reports whether an answer now comes after the route's latency target.
+func (s *State) late(q *query) bool {
+	target := q.route.LatencyTarget
+	return target > 0 && s.now.Sub(q.arrived) > target
+}
+
 // close ends a query. Its attempts that are still open are cancelled after
 // loserGrace.
 func (s *State) close(q *query, kind LogKind, outcome string) {
 	q.closed = true
 	delete(s.queries, q.id)
+	s.route(q.route).throttle.ended(s.now, kind == LogQueryRefused || s.late(q))
 	s.emit(Log{Kind: kind, Query: s.report(q, outcome)})
 	if q.running == 0 {
 		s.dropWake(q)
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -175,6 +175,8 @@
 	// not run and never will.
 	RefusalNoConfig Refusal = iota
 	RefusalNoServer
+	// RefusalThrottled is given at the arrival, before anything was sent.
+	RefusalThrottled
 	RefusalOverload
 	// RefusalNoRoute means that no route matches.
 	RefusalNoRoute
@@ -185,7 +187,7 @@
 
 // String returns the reason as it stands in log lines.
 func (r Refusal) String() string {
-	return [...]string{"no_configuration", "no_server", "overload", "no_route", "failed", "deadline"}[r]
+	return [...]string{"no_configuration", "no_server", "throttled", "overload", "no_route", "failed", "deadline"}[r]
 }
 
 // NotRun reports whether the refusal promises that the request has not run.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -232,6 +232,9 @@
 	Queued       int
 	// LeastTokens is the least retry budget of all services, in attempts.
 	LeastTokens float64
+	// Throttle is the greatest probability, of all routes, with which a request is
+	// refused at its arrival.
+	Throttle float64
 	// Share is this daemon's part of what all daemons together may do.
 	Share float64
 }
@@ -252,6 +255,9 @@
 			out.SuspectLeafs++
 		}
 	}
+	for _, rs := range s.routes {
+		out.Throttle = max(out.Throttle, rs.throttle.probability())
+	}
 	first := true
 	for _, svc := range s.services {
 		out.Queued += len(svc.queue)
--- a/pkg/core/gateway/latency.go
+++ b/pkg/core/gateway/latency.go
@@ -68,7 +68,8 @@
 	median, p90 time.Duration
 	sinceFresh  int
 	// credits of the targets of a traffic split, for smooth weighted round robin.
-	credits []float64
+	credits  []float64
+	throttle throttle
 }
 
 // refreshEvery is the number of samples after which quantiles are computed anew.
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -121,6 +121,10 @@
 	}
 	q := s.newQuery(e, route)
 	s.queries[q.id] = q
+	if p := s.route(route).throttle.refusal(s.now); p > 0 && s.rand.Float64() < p {
+		s.refuse(q, RefusalThrottled)
+		return
+	}
 	for i := range q.parts {
 		if q.closed {
 			// Too few shards have a leaf.
--- a/pkg/core/gateway/report.go
+++ b/pkg/core/gateway/report.go
@@ -26,7 +26,8 @@
 	listed := 0
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.state == partIn {
+		neverSent := p.failure == "" && len(p.calls) == 0
+		if p.state == partIn || neverSent {
 			continue
 		}
 		if listed++; listed > maxMissingListed {
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -256,6 +256,7 @@
 // learn updates the model of a leaf from the end of an attempt.
 func (s *State) learn(srv *server, c *call, e CallDone, rs *routeState) {
 	srv.decay(s.now)
+	rs.throttle.observe(e.Outcome)
 	elapsed := s.now.Sub(c.sentAt)
 	failed := 0.0
 	switch e.Outcome {
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -10,12 +10,35 @@
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 )
 
-// maxServices bounds the services with series of their own; the others are
-// counted together.
-const maxServices = 64
+// maxLabels bounds the routes, and the services, with series of their own: the
+// memory of series is paid for, and configurations name new ones all day.
+const maxLabels = 64
 
-// otherServices is the label of services beyond maxServices.
-const otherServices = "other"
+// otherLabel counts the routes and services beyond maxLabels together.
+const otherLabel = "other"
+
+// labels are the first maxLabels values of a label.
+type labels struct {
+	mu    sync.Mutex
+	known map[string]bool
+}
+
+// bounded returns the value, or otherLabel if there are too many others.
+func (l *labels) bounded(value string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known[value] {
+		return value
+	}
+	if len(l.known) >= maxLabels {
+		return otherLabel
+	}
+	if l.known == nil {
+		l.known = map[string]bool{}
+	}
+	l.known[value] = true
+	return value
+}
 
 // requestBuckets and callBuckets are upper ends in seconds, around the latency
 // targets of today's sites.
@@ -34,9 +57,8 @@
 	callTime *prometheus.HistogramVec
 	store    *prometheus.CounterVec
 	opened   prometheus.Counter
-	// mu guards services.
-	mu       sync.Mutex
-	services map[string]bool
+	services labels
+	routes   labels
 }
 
 // NewMetrics registers the collectors of a daemon.
@@ -59,7 +81,6 @@
 		calls:    counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
 		callTime: histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
 		store:    counter("store_calls_total", "Calls to the store.", "kind", "operation", "outcome"),
-		services: map[string]bool{},
 	}
 	m.opened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
 	r.MustRegister(m.opened)
@@ -68,39 +89,28 @@
 
 // request counts the end of a request.
 func (m *Metrics) request(q *gateway.QueryReport) {
-	m.requests.WithLabelValues(q.Route, q.Outcome).Inc()
 	if q.Route == "" {
+		m.requests.WithLabelValues("", q.Outcome).Inc()
 		return
 	}
-	m.latency.WithLabelValues(q.Route).Observe(q.Elapsed.Seconds())
-	m.missing.WithLabelValues(q.Route).Add(float64(q.Missing))
-	m.extra.WithLabelValues(q.Route, "hedge").Add(float64(q.Hedges))
-	m.extra.WithLabelValues(q.Route, "retry").Add(float64(q.Retries))
-	m.extra.WithLabelValues(q.Route, "denied").Add(float64(q.BudgetDenied))
+	route := m.routes.bounded(q.Route)
+	m.requests.WithLabelValues(route, q.Outcome).Inc()
+	m.latency.WithLabelValues(route).Observe(q.Elapsed.Seconds())
+	m.missing.WithLabelValues(route).Add(float64(q.Missing))
+	m.extra.WithLabelValues(route, "hedge").Add(float64(q.Hedges))
+	m.extra.WithLabelValues(route, "retry").Add(float64(q.Retries))
+	m.extra.WithLabelValues(route, "denied").Add(float64(q.BudgetDenied))
 }
 
 // Call implements edge.Observer.
 func (m *Metrics) Call(service string, outcome gateway.Outcome, took time.Duration) {
-	label := m.serviceLabel(service)
+	label := m.services.bounded(service)
 	m.calls.WithLabelValues(label, outcome.String()).Inc()
 	if outcome == gateway.OutcomeSucceeded {
 		m.callTime.WithLabelValues(label).Observe(took.Seconds())
 	}
 }
 
-// serviceLabel bounds the number of series.
-func (m *Metrics) serviceLabel(service string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.services[service] {
-		if len(m.services) >= maxServices {
-			return otherServices
-		}
-		m.services[service] = true
-	}
-	return service
-}
-
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(kind edge.Kind, operation, outcome string) {
 	m.store.WithLabelValues(string(kind), operation, outcome).Inc()
@@ -134,6 +144,7 @@
 	gauge("open_calls", "Attempts at leafs that have not ended.", func(s gateway.Status) float64 { return float64(s.OpenCalls) })
 	gauge("queued", "Shards that wait for a connection or a cold leaf.", func(s gateway.Status) float64 { return float64(s.Queued) })
 	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
+	gauge("throttle", "Greatest probability of all routes with which a request is refused at its arrival because leafs are overloaded.", func(s gateway.Status) float64 { return s.Throttle })
 	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "pistachiousher_edge_log_lines_dropped_total", Help: "Log lines dropped because the output was slow."},
