Soak with links that are delayed, reset or swallow bytes

Each leaf and each daemon's way to the store lies behind a loopback link whose faults are part of the drawn plan. Links to leafs excuse a late arrival at that leaf only; links to the store count as a disturbance of their daemon.

--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/standin/proxy"
 )
 
 // step is one fault or planned change of a soak.
@@ -16,10 +18,21 @@
 	length time.Duration
 }
 
-// kinds of steps. Those of processes hit a daemon, those of leafs a leaf.
+// kinds of steps. Those of processes and links to the store hit a daemon, those of
+// leafs and links to them a leaf.
 var kinds = []string{
 	"kill", "terminate", "pause", "store-down", "store-compact", "configure", "reshard", "drain-leaf",
 	"leaf-loses", "leaf-sheds", "leaf-slow", "leaf-fails", "leaf-extra",
+	"link-leaf-delayed", "link-leaf-reset", "link-leaf-deaf", "link-leaf-mute", "link-leaf-silent",
+	"link-store-delayed", "link-store-reset", "link-store-mute", "link-store-silent",
+}
+
+// linkFaults are the faults of links; those without an entry are reset.
+var linkFaults = map[string]proxy.Faults{
+	"delayed": {Delay: 60 * time.Millisecond},
+	"deaf":    {DropRequests: true},
+	"mute":    {DropAnswers: true},
+	"silent":  {DropRequests: true, DropAnswers: true},
 }
 
 // newPlan draws the steps of a seed. Steps overlap and repeat.
