Apply the operator's limit of header bytes

Requests over maxHeaderBytes were served up to net/http's own 1 MB; they get 431 now. The time-out of headers stays net/http's, which reads it once.

--- a/pkg/edge/front.go
+++ b/pkg/edge/front.go
@@ -14,7 +14,13 @@
 
 // ServeHTTP answers a request of a caller.
 func (r *Runtime) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	body, ok := r.readBody(w, req)
+	limits := r.currentLimits()
+	if limits.MaxHeaderBytes > 0 && headerSize(req) > limits.MaxHeaderBytes {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "the header is larger than the configuration allows", http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
+	body, ok := readBody(w, req, limits.MaxBodyBytes)
 	if !ok {
 		return
 	}
@@ -52,15 +58,30 @@
 	r.post(gateway.CallerGone{Query: query})
 }
 
-// readBody reads the whole body within the limit. It has answered if it returns
-// false.
-func (r *Runtime) readBody(w http.ResponseWriter, req *http.Request) ([]byte, bool) {
+func (r *Runtime) currentLimits() gateway.Limits {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limits
+}
+
+// headerSize is the number of bytes of the request line and the header fields,
+// but for the line ends.
+func headerSize(req *http.Request) int {
+	size := len(req.Method) + len(req.RequestURI) + len(req.Proto) + len(req.Host)
+	for name, values := range req.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// readBody reads the whole body within the limit in bytes; 0 is not known. It has
+// answered if it returns false.
+func readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, bool) {
 	if req.ContentLength == 0 {
 		return nil, true
 	}
-	r.mu.Lock()
-	limit := r.limits.MaxBodyBytes
-	r.mu.Unlock()
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -196,6 +196,12 @@
 	if a := d.call("POST", "/lost/x", "q4", time.Second, strings.Repeat("x", 1001)); a.Status != http.StatusRequestEntityTooLarge {
 		t.Errorf("body over the limit: %+v", a)
 	}
+	if a := d.call("GET", "/shed/"+strings.Repeat("x", 16384), "q5", time.Second, ""); a.Status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("header over the limit: %+v", a)
+	}
+	if a := d.call("GET", "/shed/"+strings.Repeat("x", 16000), "q6", time.Second, ""); a.Status != http.StatusServiceUnavailable {
+		t.Errorf("header within the limit: %+v", a)
+	}
 }
 
 // Guards against a leaf's answer that comes late on a kept connection and is
