--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -279,10 +279,12 @@
 
 // QueryReport summarises the decisions of one request.
 type QueryReport struct {
-	RequestID     string
-	Route         string
-	Outcome       string
-	Elapsed       time.Duration
+	RequestID string
+	Route     string
+	Outcome   string
+	Elapsed   time.Duration
+	// Late means that the answer came after the route's latency target.
+	Late          bool
 	ConfigVersion uint64
 	ViewAge       time.Duration
 	Shards        int
--- a/pkg/core/gateway/report.go
+++ b/pkg/core/gateway/report.go
@@ -3,7 +3,7 @@
 // report summarises a query for the log.
 func (s *State) report(q *query, outcome string) *QueryReport {
 	r := &QueryReport{
-		RequestID: q.requestID, Route: q.route.Name, Outcome: outcome, Elapsed: s.now.Sub(q.arrived),
+		RequestID: q.requestID, Route: q.route.Name, Outcome: outcome, Elapsed: s.now.Sub(q.arrived), Late: s.late(q),
 		ConfigVersion: q.version, ViewAge: s.age(), Shards: len(q.parts), Missing: len(q.parts) - q.in,
 		Calls: q.sent, Hedges: q.hedges, Retries: q.retries, BudgetDenied: q.denied,
 	}
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// answeredPerSecond bounds the lines of requests that were answered in full;
-	// others are always written.
+	// answeredPerSecond bounds the lines of requests that were answered in full and
+	// in time; others are always written.
 	answeredPerSecond = 20
 	// logQueue is the number of lines that may wait to be written.
 	logQueue = 512
@@ -52,7 +52,7 @@
 	if e.Query != nil {
 		l.metrics.request(e.Query)
 	}
-	if e.Kind == gateway.LogQueryAnswered && !l.room() {
+	if e.Kind == gateway.LogQueryAnswered && !e.Query.Late && !l.room() {
 		return
 	}
 	var fields []logevent.Field
@@ -100,6 +100,9 @@
 		logevent.Int("missing", q.Missing), logevent.Int("calls", q.Calls), logevent.Int("hedges", q.Hedges),
 		logevent.Int("retries", q.Retries), logevent.Int("budget_denied", q.BudgetDenied),
 	}
+	if q.Late {
+		fields = append(fields, logevent.Int("late", 1))
+	}
 	if q.MissingWhy != "" {
 		fields = append(fields, logevent.Str("why", q.MissingWhy))
 	}
