Encode gossip as protobuf

Gossip is most of what a daemon that carries no traffic sends and receives; an entry took some 80 bytes as JSON, names of fields included. client_golang brings the library already.

--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -24,13 +25,20 @@
 // Guards against datagrams that make a daemon panic, forget itself or tell of
 // itself with an earlier incarnation.
 func FuzzGossip(f *testing.F) {
-	f.Add(`[{"n":"d2","i":7,"c":1,"a":"d2:80","p":"d2:70","d":"b","s":1,"v":3,"r":9,"k":0.4,"l":100}]`)
-	f.Add(`[{"n":"d1","i":9,"p":"d1:70"}]`)
-	f.Add(`[{"n":"d1","i":18446744073709551615,"p":"d1:70"}]`)
-	f.Add(`[{"n":"d2","i":1,"c":1,"p":"127.0.0.1:70"},{"n":"d1","i":18446744073709551615,"p":"d1:70"}]`)
-	f.Add(`[{"n":"d2","i":1,"c":1,"p":"x"},{"n":"d2","i":1,"c":2}]`)
-	f.Fuzz(func(t *testing.T, text string) {
-		entries, err := decodeGossip([]byte(text))
+	other := gateway.DaemonEntry{Name: "d2", Incarnation: 7, Counter: 1, CallerAddress: "d2:80", PeerAddress: "d2:70",
+		FailureDomain: "b", State: gateway.DaemonReady, ConfigVersion: 3, ViewRevision: 9, Cores: 0.4, CallsPerSecond: 100}
+	self := gateway.DaemonEntry{Name: "d1", Incarnation: 9, PeerAddress: "d1:70"}
+	greatest := self
+	greatest.Incarnation = math.MaxUint64
+	for _, entries := range [][]gateway.DaemonEntry{{other}, {other, self}, {other, greatest}, {other, other.Brief()}} {
+		data, err := encodeGossip(entries)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entries, err := decodeGossip(data)
 		if err != nil {
 			return
 		}
@@ -55,6 +63,23 @@
 	})
 }
 
+// Guards against a field that is lost or read as another on the way.
+func TestGossipRoundTrip(t *testing.T) {
+	want := []gateway.DaemonEntry{
+		{Name: "a", Incarnation: 1, Counter: 2, CallerAddress: "1.1.1.1:1", PeerAddress: "1.1.1.1:2", FailureDomain: "d",
+			State: gateway.DaemonReady, ConfigVersion: 3, ViewRevision: 4, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
+		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
+	}
+	data, err := encodeGossip(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeGossip(data)
+	if err != nil || !slices.Equal(got, want) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+}
+
 // Guards against a view of another daemon that makes a follower panic or lose
 // an object that the view does not delete.
 func FuzzView(f *testing.F) {
--- /dev/null
+++ b/pkg/edge/gossip.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"fmt"
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
+)
+
+// encodeGossip encodes what a daemon tells of daemons as one datagram.
+func encodeGossip(entries []gateway.DaemonEntry) ([]byte, error) {
+	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries))}
+	for i, e := range entries {
+		message.Daemons[i] = &gossippb.Daemon{
+			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
+			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
+			State: toState(e.State), ConfigVersion: e.ConfigVersion, ViewRevision: e.ViewRevision, StoreDown: e.StoreDown,
+			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
+		}
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("edge: encode gossip: %w", err)
+	}
+	return data, nil
+}
+
+// decodeGossip decodes a datagram.
+func decodeGossip(data []byte) ([]gateway.DaemonEntry, error) {
+	var message gossippb.Gossip
+	if err := proto.Unmarshal(data, &message); err != nil {
+		return nil, fmt.Errorf("edge: decode gossip: %w", err)
+	}
+	entries := make([]gateway.DaemonEntry, len(message.GetDaemons()))
+	for i, d := range message.GetDaemons() {
+		entries[i] = gateway.DaemonEntry{
+			Name: d.GetName(), Incarnation: d.GetIncarnation(), Counter: d.GetCounter(),
+			CallerAddress: d.GetCallerAddress(), PeerAddress: d.GetPeerAddress(), FailureDomain: d.GetFailureDomain(),
+			State: fromState(d.GetState()), ConfigVersion: d.GetConfigVersion(), ViewRevision: d.GetViewRevision(), StoreDown: d.GetStoreDown(),
+			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
+		}
+	}
+	return entries, nil
+}
+
+func toState(s gateway.DaemonState) gossippb.State {
+	switch s {
+	case gateway.DaemonReady:
+		return gossippb.State_STATE_READY
+	case gateway.DaemonLeaving:
+		return gossippb.State_STATE_LEAVING
+	}
+	return gossippb.State_STATE_STARTING
+}
+
+// fromState takes a state that this version does not know as one in which no
+// requests are taken.
+func fromState(s gossippb.State) gateway.DaemonState {
+	switch s {
+	case gossippb.State_STATE_READY:
+		return gateway.DaemonReady
+	case gossippb.State_STATE_STARTING:
+		return gateway.DaemonStarting
+	}
+	return gateway.DaemonLeaving
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -46,31 +46,10 @@
 	}
 }
 
-// gossipEntry is a gateway.DaemonEntry with short names, since gossip is most of
-// what daemons send each other.
-type gossipEntry struct {
-	Name           string              `json:"n"`
-	Incarnation    uint64              `json:"i"`
-	Counter        uint64              `json:"c"`
-	CallerAddress  string              `json:"a,omitempty"`
-	PeerAddress    string              `json:"p,omitempty"`
-	FailureDomain  string              `json:"d,omitempty"`
-	State          gateway.DaemonState `json:"s,omitempty"`
-	ConfigVersion  uint64              `json:"v,omitempty"`
-	ViewRevision   uint64              `json:"r,omitempty"`
-	StoreDown      bool                `json:"x,omitempty"`
-	Cores          float64             `json:"k,omitempty"`
-	CallsPerSecond int                 `json:"l,omitempty"`
-}
-
 // Gossip sends entries to daemons. Datagrams may be lost; the next message
 // tells the same.
 func (p *Peers) Gossip(to []string, entries []gateway.DaemonEntry) {
-	message := make([]gossipEntry, len(entries))
-	for i, e := range entries {
-		message[i] = gossipEntry(e)
-	}
-	data, err := json.Marshal(message)
+	data, err := encodeGossip(entries)
 	if err != nil {
 		p.onError("", err)
 		return
@@ -108,18 +87,6 @@
 	}
 }
 
-func decodeGossip(data []byte) ([]gateway.DaemonEntry, error) {
-	var message []gossipEntry
-	if err := json.Unmarshal(data, &message); err != nil {
-		return nil, fmt.Errorf("edge: decode gossip: %w", err)
-	}
-	entries := make([]gateway.DaemonEntry, len(message))
-	for i, e := range message {
-		entries[i] = gateway.DaemonEntry(e)
-	}
-	return entries, nil
-}
-
 // FetchView reads another daemon's view in the background and adopts it.
 func (p *Peers) FetchView(from string) {
 	go func() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -71,6 +71,11 @@
 
 func soak(t *testing.T, seed uint64) {
 	s := newSite(t, daemons)
+	t.Cleanup(func() {
+		if t.Failed() {
+			s.keepLogs(t, seed)
+		}
+	})
 	plan := newPlan(seed, *length, daemons, len(s.leafs))
 	for _, x := range plan {
 		t.Log(x)
@@ -97,9 +102,6 @@
 	cancel()
 	running.Wait()
 	s.judge(t, c.all, calmAt.Add(settle/2))
-	if t.Failed() {
-		s.keepLogs(t, seed)
-	}
 }
 
 func (s *site) awaitReady(t *testing.T) {
