--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -105,7 +105,7 @@
 		s.addLeaf("orders")
 	}
 	s.configure(0)
-	peer := netip.MustParseAddrPort(freeAddresses(t, "127.0.0.1", 1)[0]).Port()
+	peer := netip.MustParseAddrPort(freeAddresses(t, address(0), 1)[0]).Port()
 	for i := range daemons {
 		s.addDaemon(i, peer)
 	}
@@ -181,12 +181,19 @@
 	s.versions = append(s.versions, version{number, layout, time.Now()})
 }
 
+// address is the loopback address of a daemon. Soaks that run at the same time
+// have addresses of their own, as the ports of daemons would clash otherwise.
+func address(daemon int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, pid%250, daemon+1)
+}
+
 func (s *site) addDaemon(i int, peer uint16) {
-	free := freeAddresses(s.t, fmt.Sprintf("127.0.0.%d", i+1), 3)
+	free := freeAddresses(s.t, address(i), 3)
 	d := &daemon{name: fmt.Sprintf("edge-%d", i), caller: free[0], directory: free[1], ready: free[2]}
 	d.store = startLink(s.t, s.server.Listener.Addr().String())
-	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"127.0.0.1:1\", \"127.0.0.2:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
-		d.name, d.caller, d.ready, d.directory, peer, d.store.Address(), stopTime)
+	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"%s:1\", \"%s:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
+		d.name, d.caller, d.ready, d.directory, peer, address(0), address(1), d.store.Address(), stopTime)
 	d.settings = filepath.Join(s.dir, d.name+".yaml")
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
