Write the daemon's entry again after others deleted it

A daemon that was cut off or paused for over 60 s lost its entry in the store for good: others delete it, and it was written only at the start. Daemons that started later did not learn of it from the store.

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -222,6 +222,9 @@
 // CloseIdle closes the idle connections to a leaf.
 type CloseIdle struct{ Server string }
 
+// RegisterDaemon writes this daemon's entry anew, which others have deleted.
+type RegisterDaemon struct{}
+
 // RemoveDaemon deletes the entry of a daemon that is gone.
 type RemoveDaemon struct{ Name string }
 
@@ -238,19 +241,20 @@
 	Age time.Duration
 }
 
-func (SendCall) effect()      {}
-func (CancelCall) effect()    {}
-func (ForwardAnswer) effect() {}
-func (MergeAnswer) effect()   {}
-func (Refuse) effect()        {}
-func (Gossip) effect()        {}
-func (FetchView) effect()     {}
-func (WatchStore) effect()    {}
-func (RefreshView) effect()   {}
-func (ApplyLimits) effect()   {}
-func (CloseIdle) effect()     {}
-func (RemoveDaemon) effect()  {}
-func (Log) effect()           {}
+func (SendCall) effect()       {}
+func (CancelCall) effect()     {}
+func (ForwardAnswer) effect()  {}
+func (MergeAnswer) effect()    {}
+func (Refuse) effect()         {}
+func (Gossip) effect()         {}
+func (FetchView) effect()      {}
+func (WatchStore) effect()     {}
+func (RefreshView) effect()    {}
+func (ApplyLimits) effect()    {}
+func (CloseIdle) effect()      {}
+func (RegisterDaemon) effect() {}
+func (RemoveDaemon) effect()   {}
+func (Log) effect()            {}
 
 // LogKind tells what a log line is about.
 type LogKind uint8
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -131,6 +131,8 @@
 	share float64
 	// watcher means that this daemon watches the store.
 	watcher bool
+	// listed means that the store's last known list held this daemon's entry.
+	listed bool
 }
 
 // self returns this daemon's entry as it is now.
@@ -163,6 +165,12 @@
 			delete(s.daemons, name)
 		}
 	}
+	self := listed[s.opt.Self.Name]
+	if s.members.listed && !self {
+		// It was cut off for longer than others wait.
+		s.emit(RegisterDaemon{})
+	}
+	s.members.listed = self
 	s.chooseActive()
 }
 
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -343,3 +343,34 @@
 		t.Errorf("final answer %+v while the entry may come back", w.final[q])
 	}
 }
+
+// Guards against a living daemon that was cut off for so long that others deleted
+// its entry, and that daemons which start later never learn of.
+func TestEntryThatOthersDeleted(t *testing.T) {
+	w := newWorld(t)
+	registrations := func() int {
+		n := 0
+		for _, e := range w.other {
+			if _, ok := e.(RegisterDaemon); ok {
+				n++
+			}
+		}
+		return n
+	}
+	own, other := peerEntry("d1", 0, DaemonStarting), peerEntry("d2", 0, DaemonStarting)
+	w.post(DaemonsListed{Daemons: []DaemonEntry{other}})
+	if n := registrations(); n != 0 {
+		t.Errorf("%d registrations before the entry was seen, beside the one of the start", n)
+	}
+	w.post(DaemonsListed{Daemons: []DaemonEntry{own, other}})
+	w.post(DaemonsListed{Daemons: []DaemonEntry{other}})
+	w.post(DaemonsListed{Daemons: []DaemonEntry{other}})
+	if n := registrations(); n != 1 {
+		t.Errorf("%d registrations after the entry was deleted, want 1", n)
+	}
+	w.post(DaemonsListed{Daemons: []DaemonEntry{own, other}})
+	w.post(DaemonsListed{Daemons: []DaemonEntry{other}})
+	if n := registrations(); n != 2 {
+		t.Errorf("%d registrations after the entry was deleted twice, want 2", n)
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -52,6 +52,8 @@
 	SetWatching(on bool)
 	// Refresh asks the store anew for what watches should have brought.
 	Refresh()
+	// RegisterAgain writes this daemon's entry anew.
+	RegisterAgain()
 	// RemoveDaemon deletes the entry of a daemon.
 	RemoveDaemon(name string)
 }
@@ -129,6 +131,8 @@
 		r.onLimit(e.Limits)
 	case gateway.CloseIdle:
 		r.pool.CloseIdle(e.Server)
+	case gateway.RegisterDaemon:
+		r.store.RegisterAgain()
 	case gateway.RemoveDaemon:
 		r.store.RemoveDaemon(e.Name)
 	case gateway.Log:
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -9,8 +9,33 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
-// Register writes the daemon's own entry, until it is there or ctx ends.
-func (f *Follower) Register(ctx context.Context, entry gateway.DaemonEntry) error {
+// KeepRegistered writes the daemon's own entry, and again after RegisterAgain,
+// until ctx ends. done is told each time that it is there.
+func (f *Follower) KeepRegistered(ctx context.Context, entry gateway.DaemonEntry, done func()) error {
+	for {
+		if err := f.awaitRegistration(ctx, entry); err != nil {
+			return err
+		}
+		done()
+		select {
+		case <-f.unregistered:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// RegisterAgain makes KeepRegistered write the entry anew.
+func (f *Follower) RegisterAgain() {
+	select {
+	case f.unregistered <- struct{}{}:
+	default:
+		// It is about to be written.
+	}
+}
+
+// awaitRegistration writes the entry until it is there or ctx ends.
+func (f *Follower) awaitRegistration(ctx context.Context, entry gateway.DaemonEntry) error {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		err := f.register(ctx, entry)
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -156,12 +156,7 @@
 		g.Add(func() error { return d.follower.Follow(ctx, kind) }, func(error) { cancel() })
 	}
 	g.Add(func() error {
-		if err := d.follower.Register(ctx, d.self); err != nil {
-			return err
-		}
-		d.log.Write(logevent.EdgeRegistrationDone, nil)
-		<-ctx.Done()
-		return ctx.Err()
+		return d.follower.KeepRegistered(ctx, d.self, func() { d.log.Write(logevent.EdgeRegistrationDone, nil) })
 	}, func(error) { cancel() })
 }
 
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -13,7 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/edge"
 	"github.com/pistachiousher/pistachiousher/pkg/edged"
+	"github.com/pistachiousher/pistachiousher/platform"
 	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
 
@@ -330,3 +332,23 @@
 		t.Error("the daemon did not end in time")
 	}
 }
+
+// Guards against a daemon whose entry was deleted while it was cut off, and that
+// never writes it again.
+func TestDeletedEntryComesBack(t *testing.T) {
+	s := newSite(t)
+	s.configure(route("/one/", "one"))
+	d := s.daemon(1)
+	eventually(t, startBound, "ready", d.ready)
+	store := platform.NewStore(s.server.Listener.Addr().String(), func(edge.Kind, string, string) {})
+	listed := func() bool {
+		entries, _, err := store.List(t.Context(), edge.KindDaemons, false)
+		return err == nil && slices.ContainsFunc(entries, func(o edge.Object) bool { return o.Name == d.settings.VM })
+	}
+	eventually(t, startBound, "the entry is there", listed)
+	time.Sleep(200 * time.Millisecond)
+	if err := store.Remove(t.Context(), edge.KindDaemons, d.settings.VM); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 3*time.Second, "the entry is back", listed)
+}
