--- a/pkg/core/query/lookup.go
+++ b/pkg/core/query/lookup.go
@@ -34,7 +34,6 @@
 		return
 	}
 	addresses := make([]effect.LookupAddress, len(peers))
-	self := s.view.Self()
 	for i, p := range peers {
 		addresses[i] = effect.LookupAddress{
 			VM:              p.VM,
@@ -42,9 +41,6 @@
 			Address:         p.CallerAddress,
 			RequestIDPrefix: requestIDPrefix(p.MemberRef, m.Wall, m.Rand),
 		}
-		if p.MemberRef == self {
-			s.lastLookup = m.Now
-		}
 	}
 	out.Log(logevent.LookupAnswered,
 		logevent.Str("service", e.Service),
--- a/pkg/core/query/state.go
+++ b/pkg/core/query/state.go
@@ -68,7 +68,6 @@
 	timers        timerHeap
 	bundleVersion uint64
 	running       int
-	lastLookup    model.Time
 	counts        Counts
 	// picks and tallies are scratch space that lives for one event.
 	picks   []pick
@@ -98,10 +97,6 @@
 // to a peer included.
 func (s *State) Running() int { return s.running + len(s.forwards) }
 
-// LastLookup returns the time of the last lookup answer that named this
-// daemon, 0 if there was none.
-func (s *State) LastLookup() model.Time { return s.lastLookup }
-
 // Counts returns the totals since the start.
 func (s *State) Counts() Counts { return s.counts }
 
