--- a/pkg/runtime/backends.go
+++ b/pkg/runtime/backends.go
@@ -28,8 +28,9 @@
 }
 
 // callBackend runs a sub-request at its server. Each call ends in exactly one
-// BackendAnswered, which BackendReleased may follow. An attempt that is already running is not started again: a
-// peer that repeats an attempt id must not run a request twice.
+// BackendAnswered, which BackendReleased may follow. An attempt that is already
+// running is not started again: a peer that repeats an attempt id must not run a
+// request twice.
 func (l *Loop) callBackend(e effect.CallBackend) {
 	key := backendCall{from: e.From, attempt: e.Sub.Attempt}
 	ctx, cancel := context.WithCancel(l.ctx)
