Refuse at once, and name nobody, while cut off from leafs

Tried first: the refusal without the directory; no gain, callers came back to the same domain. Guarded: a domain whose neighbours have ended, or whose leafs answer, or that has no traffic, still gives addresses (TestDirectoryOfDomainThatIsCutOff). The usual wait of callers is the longest that is stated often, not the most frequent: TestAnswerTimeOfCallersThatSpentTime failed once in a tie of the two.

--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -82,6 +82,8 @@
 	retryAfterStart    = 200 * time.Millisecond
 	retryAfterNoServer = 300 * time.Millisecond
 	retryAfterOverload = 100 * time.Millisecond
+	// Other daemons may reach the leafs that this one does not.
+	retryAfterUnreachable = 10 * time.Millisecond
 )
 
 func (s *State) retryAfter(why Refusal) time.Duration {
@@ -93,6 +95,8 @@
 		base = retryAfterNoServer
 	case RefusalOverload, RefusalThrottled:
 		base = retryAfterOverload
+	case RefusalUnreachable:
+		base = retryAfterUnreachable
 	default:
 		return 0
 	}
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -175,8 +175,10 @@
 	// not run and never will.
 	RefusalNoConfig Refusal = iota
 	RefusalNoServer
-	// RefusalThrottled is given at the arrival, before anything was sent.
+	// RefusalThrottled and RefusalUnreachable are given at the arrival, before
+	// anything was sent.
 	RefusalThrottled
+	RefusalUnreachable
 	RefusalOverload
 	// RefusalNoRoute means that no route matches.
 	RefusalNoRoute
@@ -187,7 +189,7 @@
 
 // String returns the reason as it stands in log lines.
 func (r Refusal) String() string {
-	return [...]string{"no_configuration", "no_server", "throttled", "overload", "no_route", "failed", "deadline"}[r]
+	return [...]string{"no_configuration", "no_server", "throttled", "unreachable", "overload", "no_route", "failed", "deadline"}[r]
 }
 
 // NotRun reports whether the refusal promises that the request has not run.
--- a/pkg/core/gateway/gateway_test.go
+++ b/pkg/core/gateway/gateway_test.go
@@ -482,3 +482,41 @@
 		}
 	}
 }
+
+// Guards against queries that a daemon which is cut off from too many leafs holds
+// to their deadline: they are refused at once, as long as no connection may be
+// tried, and nothing of them is sent.
+func TestCutOffFromLeafs(t *testing.T) {
+	w := newWorld(t)
+	w.connecting = true
+	w.configure(1, nil, scatter("/a/", 0.7, names("s", 4)...))
+	w.leafs(1, names("s", 4)...)
+	first := w.request("/a/", time.Second)
+	for _, c := range w.calls(first) {
+		if c.Service == "s0" || c.Service == "s1" {
+			w.done(c, OutcomeNotSent)
+		}
+	}
+	q := w.request("/a/", time.Second)
+	r, ok := w.final[q].(Refuse)
+	if !ok || r.Reason != RefusalUnreachable || !r.Reason.NotRun() || r.RetryAfter <= 0 || len(w.calls(q)) > 0 {
+		t.Fatalf("final %+v, %d attempts", w.final[q], len(w.calls(q)))
+	}
+	w.pass(maxConnectBackoff)
+	if q = w.request("/a/", time.Second); len(w.calls(q)) != 4 {
+		t.Errorf("%d attempts after the pause, want 4", len(w.calls(q)))
+	}
+}
+
+// Guards against queries that are refused although enough shards can be reached.
+func TestFewLeafsOutOfReach(t *testing.T) {
+	w := newWorld(t)
+	w.connecting = true
+	w.configure(1, nil, scatter("/a/", 0.7, names("s", 4)...))
+	w.leafs(1, names("s", 4)...)
+	first := w.request("/a/", time.Second)
+	w.done(w.calls(first)[0], OutcomeNotSent)
+	if q := w.request("/a/", time.Second); w.final[q] != nil || len(w.calls(q)) < 3 {
+		t.Errorf("final %+v, %d attempts", w.final[q], len(w.calls(q)))
+	}
+}
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -374,3 +374,52 @@
 		t.Errorf("%d registrations after the entry was deleted twice, want 2", n)
 	}
 }
+
+// Guards against callers in a failure domain that is cut off and whose daemons
+// name only each other, and against a directory that stays empty because daemons
+// of other domains have ended.
+func TestDirectoryOfDomainThatIsCutOff(t *testing.T) {
+	cutOff := func(leafsAnswer bool) *world {
+		w := newWorld(t)
+		w.configure(1, nil, plain("/r/", "s"))
+		w.leafs(2, "s")
+		near := peerEntry("d0", 1, DaemonReady)
+		near.FailureDomain = "a"
+		w.post(GossipReceived{Daemons: []DaemonEntry{near, peerEntry("d2", 1, DaemonReady)}})
+		if got := w.s.Directory("h", "north"); len(got) != 3 {
+			t.Fatalf("directory %v, want three daemons", got)
+		}
+		for i := range 8 {
+			near.Counter++
+			w.post(GossipReceived{Daemons: []DaemonEntry{near}})
+			q := w.request("/r/", 200*time.Millisecond)
+			for _, c := range w.calls(q) {
+				o := OutcomeSucceeded
+				if c.Server == "s-1" && (!leafsAnswer || i < 2) {
+					o = OutcomeNotSent
+				}
+				w.done(c, o)
+			}
+			w.pass(250 * time.Millisecond)
+		}
+		return w
+	}
+	// Leaf s-1 lies in the other domain; the choice may pass it over.
+	w := cutOff(false)
+	w.s.servers["s-1"].connectFailures, w.s.servers["s-1"].connectAfter = 1, w.now
+	if got := w.s.Directory("h", "north"); len(got) != 0 {
+		t.Errorf("a domain that is cut off names %v", got)
+	}
+	w.pass(recentAnswer + 100*time.Millisecond)
+	near := peerEntry("d0", 99, DaemonReady)
+	near.FailureDomain = "a"
+	w.post(GossipReceived{Daemons: []DaemonEntry{near}})
+	if got := w.s.Directory("h", "north"); len(got) != 2 {
+		t.Errorf("without failed connections the directory is %v, want the two daemons of the domain", got)
+	}
+	w = cutOff(true)
+	w.s.servers["s-1"].lastAnswer = w.now
+	if got := w.s.Directory("h", "north"); len(got) != 2 {
+		t.Errorf("while leafs of the other domain answer the directory is %v, want the two daemons", got)
+	}
+}
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -123,6 +123,10 @@
 	}
 	q := s.newQuery(e, route)
 	s.queries[q.id] = q
+	if !s.reachable(q) {
+		s.refuse(q, RefusalUnreachable)
+		return
+	}
 	if p := s.route(route).throttle.refusal(s.now); p > 0 && s.rand.Float64() < p {
 		s.refuse(q, RefusalThrottled)
 		return
--- a/pkg/core/gateway/scatter.go
+++ b/pkg/core/gateway/scatter.go
@@ -10,6 +10,38 @@
 	return r.LatencyTarget - spent - s.route(r).waits.margin()
 }
 
+// reachable reports whether connections can be opened to leafs of as many shards
+// as an answer needs. A daemon that is cut off from leafs refuses a query at once,
+// so that its caller goes to another one, rather than at the deadline.
+func (s *State) reachable(q *query) bool {
+	if len(q.route.Shards) == 0 {
+		return true
+	}
+	cutOff := 0
+	for i := range q.parts {
+		if s.cutOff(q.parts[i].svc) {
+			cutOff++
+		}
+	}
+	return float64(len(q.parts)-cutOff) >= q.route.MinShardRatio*float64(len(q.parts))
+}
+
+// cutOff reports whether all leafs of a service that may get work wait for the next
+// connection after one that failed.
+func (s *State) cutOff(svc *service) bool {
+	known := false
+	for _, srv := range svc.servers {
+		if !s.usable(srv) {
+			continue
+		}
+		if srv.connectAfter <= s.now {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // concludeShards answers a query over shards when all parts are known, or, once
 // answerBy has passed, as soon as enough parts are in.
 func (s *State) concludeShards(q *query) {
--- a/pkg/core/gateway/waits.go
+++ b/pkg/core/gateway/waits.go
@@ -5,6 +5,10 @@
 const (
 	// waitWindow is the number of requests after which older ones count half.
 	waitWindow = 200.0
+	// usualShare is the least frequency of the usual wait, as a share of that of the
+	// most frequent one: callers without any delay may be the fewer ones, but are
+	// more than those who wait longer for reasons of their own.
+	usualShare = 0.25
 	// spentShare bounds the time that a caller is taken to have spent before, as a
 	// share of the latency target. A caller that repeats a request has less time
 	// left for other reasons.
@@ -28,8 +32,10 @@
 	// counts are those of waits in milliseconds.
 	counts map[int64]float64
 	total  float64
-	// usual is the most frequent one.
+	// usual is what callers state that come without delay; found anew after
+	// refreshEvery requests.
 	usual int64
+	fresh int
 	// trip estimates the time of one exchange with a caller: the least that callers
 	// have spent before their request. 0 is unknown.
 	trip time.Duration
@@ -47,8 +53,9 @@
 	if w.total >= waitWindow {
 		w.fade()
 	}
-	if w.counts[ms] >= w.counts[w.usual] {
-		w.usual = ms
+	if w.fresh--; w.fresh <= 0 {
+		w.fresh = refreshEvery
+		w.usual = w.findUsual()
 	}
 	spent := time.Duration(w.usual-ms) * time.Millisecond
 	if spent <= 0 || float64(spent) > spentShare*float64(target) {
@@ -62,6 +69,21 @@
 	return spent
 }
 
+// findUsual returns the longest wait that is stated often.
+func (w *waits) findUsual() int64 {
+	most := 0.0
+	for _, n := range w.counts {
+		most = max(most, n)
+	}
+	usual := int64(0)
+	for ms, n := range w.counts {
+		if n >= usualShare*most {
+			usual = max(usual, ms)
+		}
+	}
+	return usual
+}
+
 // fade lets what was counted count half and forgets waits that are seldom.
 func (w *waits) fade() {
 	w.total = 0
