--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -43,8 +43,8 @@
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// silenceShare of the contact loss is the silence after which a daemon is not
-	// named to callers any more: four missed messages.
-	silenceShare = 0.4
+	// named to callers any more: three missed messages at today's sites.
+	silenceShare = 0.3
 	// keptAnswers is how often a caller may use an address past its time to live.
 	keptAnswers = 3
 	// stopMargin is left of the stop time for the end of the process.
