--- a/pkg/objectapi/client.go
+++ b/pkg/objectapi/client.go
@@ -19,9 +19,8 @@
 const (
 	// MaxValue is the platform's limit on an object's value in bytes.
 	MaxValue = 1 << 20
-	// maxReply bounds a reply: a value of MaxValue in base64 and its envelope,
-	// or a long list.
-	maxReply = 4 << 20
+	// maxReply bounds a reply in bytes; a list holds many values.
+	maxReply = 64 << 20
 	// maxWaiting bounds the calls that wait for the budget or a pause, so that
 	// a long outage collects no work.
 	maxWaiting = 64
