Tests that run at once have addresses of their own

Each test process has an IP address of its own now. Ruled out: the roll-out itself, which had not begun. After: test/process, pkg/cli, standin and cmd pass.

--- a/standin/child/child.go
+++ b/standin/child/child.go
@@ -135,8 +135,13 @@
 	return time.Duration(ticks) * clockTick, nil
 }
 
-// FreeAddresses returns loopback addresses that nothing listens on.
-func FreeAddresses(n int) ([]string, error) { return FreeAddressesOf("127.0.0.1", n) }
+// FreeAddresses returns loopback addresses that nothing listens on. Each process
+// has an IP address of its own, as the ports of tests that run at once would clash
+// between the choice and the start of a daemon.
+func FreeAddresses(n int) ([]string, error) {
+	pid := os.Getpid()
+	return FreeAddressesOf(fmt.Sprintf("127.%d.%d.250", 1+pid/250%250, pid%250), n)
+}
 
 // FreeAddressesOf is FreeAddresses for one of the loopback IP addresses.
 func FreeAddressesOf(ip string, n int) ([]string, error) {
