--- a/standin/child/child.go
+++ b/standin/child/child.go
@@ -135,14 +135,20 @@
 	return time.Duration(ticks) * clockTick, nil
 }
 
-// FreeAddresses returns loopback addresses that nothing listens on. Each process
-// has an IP address of its own, as the ports of tests that run at once would clash
-// between the choice and the start of a daemon.
-func FreeAddresses(n int) ([]string, error) {
+// tierHost is the last byte of the address that FreeAddresses uses.
+const tierHost = 250
+
+// OwnIP returns a loopback IP address of this process, with the given last byte.
+// The ports of tests that run at once would clash on shared addresses, between
+// their choice and the start of a daemon.
+func OwnIP(host int) string {
 	pid := os.Getpid()
-	return FreeAddressesOf(fmt.Sprintf("127.%d.%d.250", 1+pid/250%250, pid%250), n)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, pid%250, host)
 }
 
+// FreeAddresses returns loopback addresses that nothing listens on.
+func FreeAddresses(n int) ([]string, error) { return FreeAddressesOf(OwnIP(tierHost), n) }
+
 // FreeAddressesOf is FreeAddresses for one of the loopback IP addresses.
 func FreeAddressesOf(ip string, n int) ([]string, error) {
 	var list []string
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -181,12 +181,8 @@
 	s.versions = append(s.versions, version{number, layout, time.Now()})
 }
 
-// address is the loopback address of a daemon. Soaks that run at the same time
-// have addresses of their own, as the ports of daemons would clash otherwise.
-func address(daemon int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, pid%250, daemon+1)
-}
+// address is the loopback address of a daemon.
+func address(daemon int) string { return child.OwnIP(daemon + 1) }
 
 func (s *site) addDaemon(i int, peer uint16) {
 	free := freeAddresses(s.t, address(i), 3)
