measure fleet: a model of several daemons, callers and leafs under load

The simulation in pkg/core/gateway plays one daemon with callers that never repeat. The model plays several reducers with their gossip, callers that look up, repeat and give up, and leafs with slots, queues, pauses, connection costs and faults, in virtual time and from a seed. It prints by interval how requests ended and compares the code of two checkouts on the same seeds.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&capacityCommand{}, "")
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&controlCommand{}, "")
+	subcommands.Register(&fleetCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
