--- a/measure/fleet/fleet_test.go
+++ b/measure/fleet/fleet_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+// Guards against overload in which nearly every request is late because all wait in the
+// order of their arrival: while a burst asks for more than the leafs bear that are not
+// slow, as many requests as two thirds of what these bear must be answered in time.
+func TestBurstOnSlowLeafs(t *testing.T) {
+	p := load(t, "burst.yaml")
+	lookup, check := p.Routes[0], p.Routes[1]
+	burst := p.Faults[1]
+	demand := burst.Times * (lookup.PerSecond*lookup.Work.Seconds() + check.PerSecond*check.Work.Seconds())
+	capacity := float64(p.Services[0].Slots) / demand
+	if capacity >= 1 {
+		t.Fatalf("the profile asks for %.2f slots of each shard, which is no overload", demand)
+	}
+	var during Counts
+	for _, r := range RunSeeds(p, 1, 5) {
+		for _, row := range r.Rows {
+			if row.Route != "pull" && row.Start >= burst.At && row.Start < burst.At+burst.For {
+				during = during.plus(row.Counts)
+			}
+		}
+	}
+	if got, want := share(during.InTime, during), 2.0/3*capacity; got < want {
+		t.Errorf("%.3f answered in time, want %.3f: %+v", got, want, during)
+	}
+}
+
 // Guards against mistakes in a profile that are played as something else: each is named
 // with its line.
 func TestInvalidProfiles(t *testing.T) {
--- a/measure/fleet/result.go
+++ b/measure/fleet/result.go
@@ -16,6 +16,9 @@
 const (
 	inTime outcome = iota
 	late
+	// delayed requests were refused early and answered within the latency target from
+	// the new try.
+	delayed
 	refused
 	failed
 	abandoned
@@ -32,8 +35,8 @@
 	// Shards is the sum of the shares of shards in the answers.
 	Shards float64 `json:"shards"`
 	// Credit is the worth of the answers, as their callers weigh them: that of late ones
-	// is less, and all are worth the square of their share of shards. Owed is the worth if
-	// all were whole and in time.
+	// is less, halfway if they were refused early before, and all are worth the square of
+	// their share of shards. Owed is the worth if all were whole and in time.
 	Credit float64 `json:"credit"`
 	Owed   float64 `json:"owed"`
 }
@@ -120,6 +123,9 @@
 	case inTime:
 		c.InTime++
 		c.Credit += route.Worth * shards * shards
+	case delayed:
+		c.Late++
+		c.Credit += route.Worth * (1 + route.LateWorth) / 2 * shards * shards
 	case late:
 		c.Late++
 		c.Credit += route.Worth * route.LateWorth * shards * shards
--- a/pkg/core/gateway/latency.go
+++ b/pkg/core/gateway/latency.go
@@ -65,7 +65,10 @@
 type routeState struct {
 	attemptTimes latencyHistogram
 	// median and p90 are recomputed every refreshSamples samples; 0 if not known.
-	median, p90         time.Duration
+	median, p90 time.Duration
+	// unloadedTime is the average time of an attempt at a typical leaf without load, in
+	// nanoseconds; 0 if not known.
+	unloadedTime        float64
 	samplesSinceRefresh int
 	// credits of the targets of a traffic split, for smooth weighted round robin.
 	credits        []float64
@@ -73,11 +76,21 @@
 	callerTimeouts callerTimeouts
 }
 
+// unloadedTimeWeight is the weight of a new sample in a route's unloadedTime.
+const unloadedTimeWeight = 0.02
+
 // refreshSamples is the number of samples after which derived values are recomputed.
 const refreshSamples = 16
 
-func (r *routeState) recordAttempt(d time.Duration) {
+// recordAttempt adds the time of an attempt that took ratio times as long as one at a
+// typical leaf without load.
+func (r *routeState) recordAttempt(d time.Duration, ratio float64) {
 	r.attemptTimes.observe(d)
+	unloaded := float64(d) / ratio
+	if r.unloadedTime == 0 {
+		r.unloadedTime = unloaded
+	}
+	r.unloadedTime += (unloaded - r.unloadedTime) * unloadedTimeWeight
 	r.samplesSinceRefresh++
 	if r.attemptTimes.hasEnoughSamples() && (r.samplesSinceRefresh >= refreshSamples || r.median == 0) {
 		r.samplesSinceRefresh = 0
