A list in pages is known up to its oldest page

The state claimed the revision of the first page and the latest change of any page, so that a change between them was missed until the next one, and a leaf that had left got a request 5.35 s later.

--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -354,3 +354,17 @@
 		t.Errorf("view: %+v", view)
 	}
 }
+
+// Guards against a daemon that takes its view for current because a list in several pages
+// holds a late change, although an earlier one is missing: it would not ask others for
+// the rest, and send requests to leafs that have left.
+func TestViewIsKnownUpToTheRevisionOfTheList(t *testing.T) {
+	known := newKindState([]Object{{Name: "a", Revision: 4}, {Name: "b", Revision: 9}}, 5)
+	if known.Changed > 5 || known.Revision != 5 {
+		t.Errorf("changed at %d, known up to %d; want both up to 5", known.Changed, known.Revision)
+	}
+	known.applyChanges([]Change{{Object: Object{Name: "c", Revision: 8}}}, 8)
+	if known.Changed != 8 || known.Revision != 8 {
+		t.Errorf("changed at %d, known up to %d; want 8", known.Changed, known.Revision)
+	}
+}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -61,12 +61,13 @@
 // maxDeleted bounds the deletions that are kept for other daemons.
 const maxDeleted = 2000
 
-// newKindState returns the state according to a list.
+// newKindState returns the state according to a list, which may hold some later changes
+// but is known to be whole only up to the revision.
 func newKindState(objects []Object, revision uint64) KindState {
 	f := KindState{Revision: revision, Objects: make(map[string]Object, len(objects)), Deleted: map[string]uint64{}, Since: revision}
 	for _, o := range objects {
 		f.Objects[o.Name] = o
-		f.Changed = max(f.Changed, o.Revision)
+		f.Changed = max(f.Changed, min(o.Revision, revision))
 	}
 	return f
 }
