--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&controlCommand{}, "")
 	subcommands.Register(&fleetCommand{}, "")
+	subcommands.Register(&ablationCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
