--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -88,20 +88,20 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.pool(sub.Server, address).http.Do(req)
 	if err != nil {
-		return trace.giveUp(ctx, err)
+		return trace.abandonWithReply(ctx, err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
-		return trace.giveUp(ctx, err)
+		return trace.abandonWithReply(ctx, err)
 	}
 	trace.responseComplete()
 	return readReply(id, sub, resp, answer)
 }
 
-// giveUp abandons a request that has no complete response and returns its
+// abandonWithReply abandons a request that has no complete response and returns its
 // outcome.
-func (t *requestTrace) giveUp(ctx context.Context, err error) Reply {
+func (t *requestTrace) abandonWithReply(ctx context.Context, err error) Reply {
 	sent, ended := t.abandon()
 	reply := noResponseFailure(ctx, sent, err)
 	reply.Ended = ended
--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -142,7 +142,7 @@
 	s.route(q.route).throttle.recordRequest(s.now, kind == LogQueryRefused || s.isLate(q))
 	s.emit(Log{Kind: kind, Query: s.queryReport(q, kind, outcome)})
 	if q.openCalls == 0 {
-		s.dropWake(q)
+		s.cancelWake(q)
 		return
 	}
 	for i := range q.parts {
--- a/pkg/core/gateway/call.go
+++ b/pkg/core/gateway/call.go
@@ -65,7 +65,7 @@
 	s.scanQueue(c.server.svc)
 	if q.closed {
 		if q.openCalls == 0 {
-			s.dropWake(q)
+			s.cancelWake(q)
 		}
 		return
 	}
--- a/pkg/core/gateway/callertimeouts.go
+++ b/pkg/core/gateway/callertimeouts.go
@@ -34,8 +34,8 @@
 	// counts is the number of requests by stated timeout in milliseconds.
 	counts map[int64]float64
 	total  float64
-	// commonMS is the timeout in milliseconds that callers state which have spent no
-	// time before; recomputed after refreshSamples requests.
+	// commonMS is the timeout, in milliseconds, of callers that have spent no time before
+	// their request. It is recomputed after refreshSamples requests.
 	commonMS     int64
 	untilRefresh int
 	// roundTrip estimates the time of one exchange with a caller: the least time that
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -82,7 +82,7 @@
 // know for its name.
 func (s *State) raiseIncarnation(known DaemonEntry) {
 	self := &s.opt.Self
-	// The greatest number cannot be exceeded, and no daemon uses it.
+	// No daemon uses the greatest number, since none could be greater.
 	if known.Incarnation > self.Incarnation && known.Incarnation < math.MaxUint64 {
 		self.Incarnation = known.Incarnation + 1
 		s.members.fullGossipPending = true
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -246,7 +246,7 @@
 
 // cancelQueryCalls cancels all open attempts of a query.
 func (s *State) cancelQueryCalls(q *query) {
-	s.dropWake(q)
+	s.cancelWake(q)
 	for i := range q.parts {
 		s.cancelPartCalls(&q.parts[i])
 	}
--- a/pkg/core/gateway/report.go
+++ b/pkg/core/gateway/report.go
@@ -13,7 +13,7 @@
 	}
 	if len(q.parts) == 1 {
 		for _, c := range q.parts[0].calls {
-			r.Servers = joinWords(r.Servers, c.server.ID)
+			r.Servers = appendWord(r.Servers, c.server.ID)
 		}
 	}
 	return r
@@ -44,12 +44,12 @@
 		if n := len(p.calls); n > 0 {
 			entry += "@" + p.calls[n-1].server.ID
 		}
-		out = joinWords(out, entry)
+		out = appendWord(out, entry)
 	}
 	return out
 }
 
-func joinWords(a, b string) string {
+func appendWord(a, b string) string {
 	if a == "" {
 		return b
 	}
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -21,7 +21,7 @@
 	// a leaf accepts.
 	defaultConnections = 64
 	// reservedConnectionShare is the share of a leaf's connections that is left for
-	// daemons that are being replaced: old connections can outlive their process.
+	// daemons that are being replaced: old connections may stay open after their process has ended.
 	reservedConnectionShare = 0.1
 )
 
--- a/pkg/core/gateway/timers.go
+++ b/pkg/core/gateway/timers.go
@@ -53,7 +53,7 @@
 	heap.Fix(&s.timers, q.heapIndex)
 }
 
-func (s *State) dropWake(q *query) {
+func (s *State) cancelWake(q *query) {
 	if q.heapIndex >= 0 {
 		heap.Remove(&s.timers, q.heapIndex)
 	}
--- a/pkg/core/query/requestid.go
+++ b/pkg/core/query/requestid.go
@@ -31,9 +31,9 @@
 // parseRequestID parses an id from the right, because a VM name may contain
 // dots.
 func parseRequestID(id model.RequestID) (idParts, error) {
-	rest, n, ok1 := cutLast(string(id), ".")
-	rest, nonce, ok2 := cutLast(rest, ".")
-	vm, incarnation, ok3 := cutLast(rest, ".")
+	rest, n, ok1 := cutAtLast(string(id), ".")
+	rest, nonce, ok2 := cutAtLast(rest, ".")
+	vm, incarnation, ok3 := cutAtLast(rest, ".")
 	issued, random, ok4 := strings.Cut(nonce, "-")
 	if !ok1 || !ok2 || !ok3 || !ok4 || vm == "" {
 		return idParts{}, ErrRequestID
@@ -56,7 +56,7 @@
 	return idParts{member: ref, issued: ms}, nil
 }
 
-func cutLast(s, sep string) (before, after string, found bool) {
+func cutAtLast(s, sep string) (before, after string, found bool) {
 	i := strings.LastIndex(s, sep)
 	if i < 0 {
 		return s, "", false
--- a/pkg/edge/merge.go
+++ b/pkg/edge/merge.go
@@ -26,8 +26,9 @@
 	return x
 }
 
-// topRecords returns the k greatest records of all bodies, the greatest first. Equal
-// records are all counted; a rest that is shorter than a record is ignored.
+// topRecords returns the k greatest records of all bodies, the greatest first. A record
+// that occurs several times counts each time. Bytes at the end of a body that are fewer
+// than a record are ignored.
 func topRecords(bodies [][]byte, k int) []byte {
 	var h recordHeap
 	for _, body := range bodies {
--- a/pkg/edged/edged_test.go
+++ b/pkg/edged/edged_test.go
@@ -262,8 +262,7 @@
 	}
 }
 
-// Guards against a daemon that stops, or logs nothing, when its settings file
-// becomes invalid.
+// Guards against an invalid settings file that ends the daemon, or that is not logged.
 func TestSettingsReload(t *testing.T) {
 	s := newSite(t)
 	s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Guards against watches that miss a change, spin, or outlive an outage.
+// Guards against watches that miss a change, call without a pause, or wait on after an outage.
 func TestWatch(t *testing.T) {
 	s, h := start(t, Options{})
 	url := h.URL + "/v1/objects/a?watch=1&after=0&timeout_ms="
