--- a/measure/fleet/fleet_test.go
+++ b/measure/fleet/fleet_test.go
@@ -111,6 +111,28 @@
 	}
 }
 
+// Guards against daemons that serve badly after a restart of all of them, because they
+// know no latencies, loads or shares yet, and against a start that waits long for a store
+// which is back: half a second after the last start, or after the store is back,
+// requests are served as on a calm day.
+func TestServedSoonAfterRestart(t *testing.T) {
+	for name, back := range map[string]time.Duration{
+		"index.yaml":  30*time.Second + 1200*time.Millisecond + 300*time.Millisecond + 150*time.Millisecond,
+		"outage.yaml": 6500 * time.Millisecond,
+	} {
+		p := load(t, name)
+		p.Interval = 500 * time.Millisecond
+		from := (back + 500*time.Millisecond).Truncate(p.Interval) + p.Interval
+		var after Counts
+		for _, r := range RunSeeds(p, 1, 3) {
+			after = after.plus(r.Window(from, from+2*time.Second))
+		}
+		if got := share(after.InTime, after); got < 0.95 {
+			t.Errorf("%s: %.3f in time from %v on, want 0.95: %+v", name, got, from, after)
+		}
+	}
+}
+
 // Guards against mistakes in a profile that are played as something else: each is named
 // with its line.
 func TestInvalidProfiles(t *testing.T) {
