--- a/pkg/edged/bench_test.go
+++ b/pkg/edged/bench_test.go
@@ -17,6 +17,10 @@
 	return gateway.Log{Kind: kind, Query: &gateway.QueryReport{
 		RequestID: "9c41d07be2a35f68", Route: "r-q3ujdha", Outcome: "answered", Elapsed: 71 * time.Millisecond,
 		ConfigVersion: 14, Shards: 20, Missing: 1, Calls: 21, Hedges: 1, MissingReasons: "ziba41f:late@i-1a939ceaaa",
+		Wait: &gateway.WaitReport{
+			Cause: gateway.WaitSlowLeaf, Service: "ziba41f", Server: "i-1a939ceaaa", Connect: 300 * time.Microsecond, AtLeaf: 70 * time.Millisecond,
+			Expected: 31 * time.Millisecond, Load: 2, Slots: 3, RetryTokens: 4, QuotaShare: 0.106, Connections: 2,
+		},
 	}}
 }
 
