--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -127,6 +127,9 @@
 
 	// openCalls is the number of open attempts, including those of a closed query.
 	openCalls int
+	// rank is a random number that orders requests of equal urgency in the queues of all
+	// shards.
+	rank uint64
 
 	sent, hedges, retries, budgetDenied int
 }
@@ -187,6 +190,7 @@
 		deadline:     timeoutStart.Add(timeout - margin),
 		leafDeadline: timeoutStart.Add(timeout - margin - min(leafMargin, margin)),
 		heapIndex:    -1,
+		rank:         s.rand.Uint64(),
 		lag:          s.recordLag(s.now, arrived, e.MaxUnread),
 	}
 	if e.CallerTimeout > 0 {
--- a/pkg/core/gateway/queue.go
+++ b/pkg/core/gateway/queue.go
@@ -71,9 +71,11 @@
 	svc.queue = remaining
 }
 
-// sortQueue orders the queued parts of a service: first those of requests that can still
-// be answered in time, then by priority and arrival. In the order of arrival alone all
-// requests would be late while leafs are overloaded.
+// sortQueue orders the queued parts of a service. Those of requests that can still be
+// answered in time come first, by priority and then by the rank of the request, which is
+// the same at all shards: in the order of arrival all requests would be late while leafs
+// are overloaded, and in an order that differs between shards few would be complete. Of
+// the others those come first that lack the fewest parts.
 func (s *State) sortQueue(svc *service) {
 	least := s.leastExpectedRatio(svc)
 	for _, queued := range svc.queue {
@@ -83,7 +85,14 @@
 	}
 	slices.SortStableFunc(svc.queue, func(a, b queuedPart) int {
 		aLate, bLate := a.query.parts[a.part].late, b.query.parts[b.part].late
-		return cmp.Or(compareBool(aLate, bLate), a.query.route.Priority-b.query.route.Priority)
+		if aLate != bLate {
+			return compareBool(aLate, bLate)
+		}
+		order := a.query.route.Priority - b.query.route.Priority
+		if aLate {
+			order = cmp.Or(order, a.query.lackingParts()-b.query.lackingParts())
+		}
+		return cmp.Or(order, cmp.Compare(a.query.rank, b.query.rank))
 	})
 }
 
--- a/pkg/core/gateway/queue_test.go
+++ b/pkg/core/gateway/queue_test.go
@@ -107,6 +107,43 @@
 	}
 }
 
+// Guards against requests that are each answered at some shards and complete at none:
+// queues of all shards order requests alike, and late ones that lack least go first.
+func TestQueueOrderIsTheSameAtAllShards(t *testing.T) {
+	h := newHarness(t)
+	h.configure(1, nil, shardedRoute("/a/", 1, "x", "y"))
+	h.listLeafs(1, "x", "y")
+	h.s.route(h.s.config.Routes[0]).unloadedTime = float64(time.Millisecond)
+	h.report(fullLoad, "x-0", "y-0")
+	for range 6 {
+		h.request("/a/", 2*time.Second)
+	}
+	order := func(service string) []QueryID {
+		svc := h.s.services[service]
+		h.s.sortQueue(svc)
+		var ids []QueryID
+		for _, queued := range svc.queue {
+			ids = append(ids, queued.query.id)
+		}
+		return ids
+	}
+	x, y := order("x"), order("y")
+	for i := range x {
+		if x[i] != y[i] {
+			t.Fatalf("x orders %v, y orders %v", x, y)
+		}
+	}
+	for range 10 {
+		h.advance(25 * time.Millisecond)
+		h.report(fullLoad, "x-0", "y-0")
+	}
+	last := h.s.queries[x[5]]
+	last.answeredParts = 1
+	if got := order("x"); got[0] != last.id {
+		t.Errorf("late requests in the order %v, want %d first, which lacks one part", got, last.id)
+	}
+}
+
 // Guards against routes without a latency target whose requests count as late on their
 // arrival.
 func TestNoTargetIsNeverLate(t *testing.T) {
