--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -89,7 +89,7 @@
 		answersInTime := !p.late && s.now.Add(time.Duration(srv.expectedRatio(load)*unloaded)) <= q.inTimeUntil
 		if !s.hasCapacity(srv) || p.late && load >= float64(srv.Slots) {
 			c.busy = true
-			c.busyInTime = c.busyInTime || answersInTime && s.takesRequests(srv)
+			c.busyInTime = c.busyInTime || answersInTime
 			continue
 		}
 		c.all = append(c.all, srv)
@@ -113,12 +113,7 @@
 
 // hasCapacity reports whether a leaf can take one more attempt of this daemon now.
 func (s *State) hasCapacity(srv *server) bool {
-	return s.takesRequests(srv) && len(srv.inflight) < s.maxConnections(srv.svc) && !s.isFull(srv)
-}
-
-// takesRequests reports whether a leaf can take an attempt apart from its load.
-func (s *State) takesRequests(srv *server) bool {
-	return srv.connectAfter <= s.now && s.hasColdToken(srv)
+	return len(srv.inflight) < s.maxConnections(srv.svc) && srv.connectAfter <= s.now && s.hasColdToken(srv) && !s.isFull(srv)
 }
 
 // isFull reports whether so many requests wait at a leaf that further ones are better
--- a/pkg/core/gateway/queue.go
+++ b/pkg/core/gateway/queue.go
@@ -16,7 +16,7 @@
 	part  int
 }
 
-// enqueuePart queues a part until a leaf can take it.
+// enqueuePart queues a part until a connection is free or a cold leaf can take it.
 func (s *State) enqueuePart(q *query, i int) {
 	p := &q.parts[i]
 	p.state = partQueued
