--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -31,75 +31,43 @@
 	stallThreshold = 2.0
 	// coldPenalty is the cost of a cold leaf, in typical attempt times.
 	coldPenalty = 0.6
-	// maxLoadPerSlot is the number of requests at a leaf, per slot, from which it gets no
-	// more: twice as many wait then as run.
-	maxLoadPerSlot = 3.0
 	// costJitter is the largest random increase of a cost, as a ratio. It keeps daemons
 	// from choosing the same leaf among leafs of equal cost.
 	costJitter = 0.1
 )
 
-// candidates are the leafs of a service that a part may be sent to now.
-type candidates struct {
-	// all have capacity; inTime are those of them that are expected to answer in time.
-	all, inTime []*server
-	// busy means that there are leafs without capacity, busyInTime that one of them is
-	// expected to answer in time all the same.
-	busy, busyInTime bool
-}
-
 // chooseLeaf picks the leaf for the next attempt of a part: the one of the lowest cost
-// among up to three random candidates. Leafs that are expected to answer in time come
-// first, and if they are busy the part waits for them. Leafs that the part has tried
-// before are candidates only if no other is left.
+// among up to three random candidates. Leafs that the part has tried before are
+// candidates only if no other is left.
 func (s *State) chooseLeaf(svc *service, q *query, p *part) (*server, choiceResult) {
-	found := s.candidates(svc, q, p)
-	list := found.all
-	switch {
-	case len(found.inTime) > 0:
-		list = found.inTime
-	case found.busyInTime:
-		return nil, leafsBusy
-	case len(list) == 0 && !found.busy:
-		list = s.retryableLeafs(svc, q, p)
+	var candidates []*server
+	anyBusy := false
+	for _, srv := range svc.servers {
+		if !s.usable(srv) || !s.inHomeRegion(srv, q.route) || p.tried(srv, false) {
+			continue
+		}
+		if !s.hasCapacity(srv) {
+			anyBusy = true
+			continue
+		}
+		candidates = append(candidates, srv)
 	}
-	if len(list) == 0 {
-		if found.busy {
+	if len(candidates) == 0 && !anyBusy {
+		candidates = s.retryableLeafs(svc, q, p)
+	}
+	if len(candidates) == 0 {
+		if anyBusy {
 			return nil, leafsBusy
 		}
 		return nil, noLeafLeft
 	}
-	best := s.cheapestLeaf(list, s.route(q.route).typicalAttemptTime(q.route))
+	best := s.cheapestLeaf(candidates, s.route(q.route).typicalAttemptTime(q.route))
 	if !s.takeColdToken(best) {
 		return nil, leafsBusy
 	}
 	return best, leafChosen
 }
 
-// candidates returns the untried leafs of a service for a part. A part of a request that
-// cannot be answered in time any more gets only free slots.
-func (s *State) candidates(svc *service, q *query, p *part) candidates {
-	var c candidates
-	unloaded := s.route(q.route).unloadedTime
-	for _, srv := range svc.servers {
-		if !s.usable(srv) || !s.inHomeRegion(srv, q.route) || p.tried(srv, false) {
-			continue
-		}
-		load := s.estimatedLoad(srv)
-		answersInTime := !p.late && s.now.Add(time.Duration(srv.expectedRatio(load)*unloaded)) <= q.inTimeUntil
-		if !s.hasCapacity(srv) || p.late && load >= float64(srv.Slots) {
-			c.busy = true
-			c.busyInTime = c.busyInTime || answersInTime
-			continue
-		}
-		c.all = append(c.all, srv)
-		if answersInTime {
-			c.inTime = append(c.inTime, srv)
-		}
-	}
-	return c
-}
-
 // retryableLeafs returns the leafs on which the part has no open attempt.
 func (s *State) retryableLeafs(svc *service, q *query, p *part) []*server {
 	var out []*server
@@ -113,13 +81,7 @@
 
 // hasCapacity reports whether a leaf can take one more attempt of this daemon now.
 func (s *State) hasCapacity(srv *server) bool {
-	return len(srv.inflight) < s.maxConnections(srv.svc) && srv.connectAfter <= s.now && s.hasColdToken(srv) && !s.isFull(srv)
-}
-
-// isFull reports whether so many requests wait at a leaf that further ones are better
-// kept in this daemon, where more urgent ones can still be sent before them.
-func (s *State) isFull(srv *server) bool {
-	return s.estimatedLoad(srv) >= maxLoadPerSlot*float64(max(1, srv.Slots))
+	return len(srv.inflight) < s.maxConnections(srv.svc) && srv.connectAfter <= s.now && s.hasColdToken(srv)
 }
 
 // inHomeRegion reports whether the route may run in the leaf's region.
--- a/pkg/core/gateway/latency.go
+++ b/pkg/core/gateway/latency.go
@@ -65,10 +65,7 @@
 type routeState struct {
 	attemptTimes latencyHistogram
 	// median and p90 are recomputed every refreshSamples samples; 0 if not known.
-	median, p90 time.Duration
-	// unloadedTime is the average time of an attempt at a typical leaf without load, in
-	// nanoseconds; 0 if not known.
-	unloadedTime        float64
+	median, p90         time.Duration
 	samplesSinceRefresh int
 	// credits of the targets of a traffic split, for smooth weighted round robin.
 	credits        []float64
@@ -76,21 +73,11 @@
 	callerTimeouts callerTimeouts
 }
 
-// unloadedTimeWeight is the weight of a new sample in a route's unloadedTime.
-const unloadedTimeWeight = 0.02
-
 // refreshSamples is the number of samples after which derived values are recomputed.
 const refreshSamples = 16
 
-// recordAttempt adds the time of an attempt that took ratio times as long as one at a
-// typical leaf without load.
-func (r *routeState) recordAttempt(d time.Duration, ratio float64) {
+func (r *routeState) recordAttempt(d time.Duration) {
 	r.attemptTimes.observe(d)
-	unloaded := float64(d) / ratio
-	if r.unloadedTime == 0 {
-		r.unloadedTime = unloaded
-	}
-	r.unloadedTime += (unloaded - r.unloadedTime) * unloadedTimeWeight
 	r.samplesSinceRefresh++
 	if r.attemptTimes.hasEnoughSamples() && (r.samplesSinceRefresh >= refreshSamples || r.median == 0) {
 		r.samplesSinceRefresh = 0
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -51,9 +51,6 @@
 	// retryDenied means that the retry budget did not allow a second attempt when it was
 	// due.
 	retryDenied bool
-	// late means that the request could not be answered in time any more when the part
-	// was last considered in the queue.
-	late bool
 	// queuedBecause says why no leaf could take the part when it was queued last.
 	queuedBecause WaitCause
 	// failedCall is the last attempt that ended with an answer other than 2xx.
@@ -111,9 +108,6 @@
 	// partialAnswerAt is when a partial answer becomes better than waiting for the
 	// rest.
 	partialAnswerAt model.Time
-	// inTimeUntil is until when leafs have to answer for the request to be answered
-	// within its latency target.
-	inTimeUntil model.Time
 	// hedgeAt is when open parts get a second attempt.
 	hedgeAt       model.Time
 	parts         []part
@@ -127,9 +121,6 @@
 
 	// openCalls is the number of open attempts, including those of a closed query.
 	openCalls int
-	// rank is a random number that orders requests of equal urgency in the queues of all
-	// shards.
-	rank uint64
 
 	sent, hedges, retries, budgetDenied int
 }
@@ -190,23 +181,17 @@
 		deadline:     timeoutStart.Add(timeout - margin),
 		leafDeadline: timeoutStart.Add(timeout - margin - min(leafMargin, margin)),
 		heapIndex:    -1,
-		rank:         s.rand.Uint64(),
 		lag:          s.recordLag(s.now, arrived, e.MaxUnread),
 	}
 	if e.CallerTimeout > 0 {
 		q.spentBefore = s.route(r).callerTimeouts.recordRequest(e.CallerTimeout, r.LatencyTarget)
 	}
 	q.hedgeAt, q.partialAnswerAt = model.Never, model.Never
-	answerBy := arrived.Add(s.partialAnswerDelay(r, q.spentBefore))
-	q.inTimeUntil = model.Never
-	if r.LatencyTarget > 0 {
-		q.inTimeUntil = answerBy
-	}
 	services := r.Shards
 	if len(services) == 0 {
 		services = []string{s.route(r).nextTarget(r.Targets)}
 	} else {
-		q.partialAnswerAt = answerBy
+		q.partialAnswerAt = arrived.Add(s.partialAnswerDelay(r, q.spentBefore))
 	}
 	if r.Idempotent && r.MaxAttempts > 1 {
 		q.hedgeAt = arrived.Add(s.hedgeDelay(r, q.spentBefore))
--- a/pkg/core/gateway/scatter.go
+++ b/pkg/core/gateway/scatter.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -68,14 +67,6 @@
 	return q.answeredParts > 0 && float64(q.answeredParts) >= q.route.MinShardRatio*float64(len(q.parts))
 }
 
-// lackingParts returns the number of parts that are still needed for an answer.
-func (q *query) lackingParts() int {
-	if len(q.route.Shards) == 0 {
-		return 1
-	}
-	return max(0, int(math.Ceil(q.route.MinShardRatio*float64(len(q.parts))))-q.answeredParts)
-}
-
 // enoughImpossible reports whether the MinShardRatio of the route can no longer be
 // reached.
 func (s *State) enoughImpossible(q *query) bool {
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -269,7 +269,7 @@
 	case OutcomeSucceeded:
 		srv.lastAnswerAt = s.now
 		srv.connectFailures = 0
-		rs.recordAttempt(elapsed, srv.expectedRatio(c.loadBefore))
+		rs.recordAttempt(elapsed)
 		s.recordRelativeLatency(srv, c, float64(elapsed)/float64(rs.typicalAttemptTime(c.query.route)))
 	case OutcomeNotExecuted:
 		srv.lastAnswerAt = s.now
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -17,6 +17,8 @@
 	// initialRetryTokens bounds the tokens of a service that is new to this daemon: a
 	// daemon that has restarted may have spent others in the same window.
 	initialRetryTokens = 2.0
+	// queueScanInterval is the interval at which queued parts are tried again.
+	queueScanInterval = 10 * time.Millisecond
 	// defaultConnections is used if the configuration does not say how many connections
 	// a leaf accepts.
 	defaultConnections = 64
@@ -37,6 +39,12 @@
 	queue []queuedPart
 }
 
+// queuedPart is a part of a query that no leaf could take yet.
+type queuedPart struct {
+	query *query
+	part  int
+}
+
 func (s *State) service(name string) *service {
 	svc, ok := s.services[name]
 	if !ok {
@@ -115,6 +123,61 @@
 	return srv.coldTokens >= 1
 }
 
+// enqueuePart queues a part until a connection is free or a cold leaf can take it.
+func (s *State) enqueuePart(q *query, i int) {
+	p := &q.parts[i]
+	p.state = partQueued
+	p.queuedBecause = s.busyCause(p.svc)
+	if len(p.svc.queue) == 0 {
+		s.waitingServices = append(s.waitingServices, p.svc)
+	}
+	p.svc.queue = append(p.svc.queue, queuedPart{q, i})
+}
+
+// scanQueues sends the queued parts of all services that a leaf can take now.
+func (s *State) scanQueues() {
+	if len(s.waitingServices) == 0 {
+		return
+	}
+	waiting := s.waitingServices
+	s.waitingServices = nil
+	for _, svc := range waiting {
+		s.scanQueue(svc)
+		if len(svc.queue) > 0 && !slices.Contains(s.waitingServices, svc) {
+			s.waitingServices = append(s.waitingServices, svc)
+		}
+	}
+}
+
+// scanQueue sends queued parts that a leaf can take now, by priority and then by
+// arrival. It drops parts that need no attempt any more or have no time left.
+func (s *State) scanQueue(svc *service) {
+	if len(svc.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(svc.queue, func(a, b queuedPart) int { return a.query.route.Priority - b.query.route.Priority })
+	remaining := svc.queue[:0]
+	for _, queued := range svc.queue {
+		p := &queued.query.parts[queued.part]
+		if queued.query.closed || p.state != partQueued || s.now >= queued.query.leafDeadline {
+			continue
+		}
+		srv, result := s.chooseLeaf(svc, queued.query, p)
+		if result == leafsBusy {
+			remaining = append(remaining, queued)
+			continue
+		}
+		p.state = partOpen
+		if result == noLeafLeft {
+			s.partFailed(queued.query, queued.part, "no_server")
+			continue
+		}
+		s.sendCall(queued.query, queued.part, srv, false)
+	}
+	clear(svc.queue[len(remaining):])
+	svc.queue = remaining
+}
+
 // viewAge returns for how long the list of leafs has not been confirmed; 0 while calls
 // to the store succeed.
 func (s *State) viewAge() time.Duration {
--- a/pkg/core/gateway/wait.go
+++ b/pkg/core/gateway/wait.go
@@ -173,8 +173,6 @@
 			cause = WaitUnreachableLeaf
 		case !s.hasColdToken(srv):
 			return WaitColdLeaf
-		case s.isFull(srv):
-			return WaitLeafQueue
 		default:
 			return WaitConnectionShare
 		}
