--- a/measure/fleet/daemon.go
+++ b/measure/fleet/daemon.go
@@ -187,6 +187,9 @@
 		return
 	}
 	d.later(half, func() {
+		if a.ended {
+			return
+		}
 		if l.connections >= l.profile.Connections {
 			d.w.after(2*daemonDistance, func() { d.attemptEnded(a, gateway.OutcomeNotSent, gateway.Load{}) })
 			return
