gateway: watchers of the store are in several failure domains

TestNumberOfStoreWatchers described itself in domain a and to others in domain b, which no fleet does; it counts the same with one domain.

--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -251,7 +251,7 @@
 		watching := 0
 		all := append(numberedNames("f", count-1), "d1")
 		for _, self := range all {
-			h := newHarnessWith(t, Options{Self: DaemonEntry{Name: self, PeerAddress: self + ":70", FailureDomain: "a"}})
+			h := newHarnessWith(t, Options{Self: DaemonEntry{Name: self, PeerAddress: self + ":70", FailureDomain: peerEntry(self, 1, DaemonReady).FailureDomain}})
 			h.now = model.Time(2 * watcherStartDelay)
 			var others []DaemonEntry
 			for _, name := range all {
@@ -271,6 +271,39 @@
 	}
 }
 
+// Guards against watchers that are all in one failure domain: when it is cut off, nobody
+// sees that leafs leave until the watchers are replaced.
+func TestWatchersAreInSeveralDomains(t *testing.T) {
+	for seed := range 20 {
+		domainOf := map[string]string{}
+		all := numberedNames(fmt.Sprintf("f%d-", seed), 12)
+		for i, name := range all {
+			domainOf[name] = fmt.Sprint("domain-", i%4)
+		}
+		domains := map[string]bool{}
+		watching := 0
+		for _, self := range all {
+			h := newHarnessWith(t, Options{Self: DaemonEntry{Name: self, PeerAddress: self + ":70", FailureDomain: domainOf[self]}})
+			var others []DaemonEntry
+			for _, name := range all {
+				if name != self {
+					e := peerEntry(name, 1, DaemonReady)
+					e.FailureDomain = domainOf[name]
+					others = append(others, e)
+				}
+			}
+			h.step(GossipReceived{Daemons: others})
+			if place, _ := h.s.StoreRank(); place < maxWatchers {
+				watching++
+				domains[domainOf[self]] = true
+			}
+		}
+		if watching != maxWatchers || len(domains) != maxWatchers {
+			t.Errorf("names %d: %d watchers in %d of 4 domains, want %d in as many", seed, watching, len(domains), maxWatchers)
+		}
+	}
+}
+
 // Guards against a daemon that does not watch the store and learns of changes late.
 func TestNonWatcherFetchesNewerViewAtOnce(t *testing.T) {
 	h := newHarness(t)
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"slices"
+	"strings"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -95,21 +97,32 @@
 }
 
 // StoreRank returns this daemon's place, from 0, among the living daemons that reach
-// the store, and the number of these. They are ordered by a hash of the name,
-// independent of failure domains, so that the first daemons are in several domains.
+// the store, and the number of these. Failure domains take turns, so that the first
+// daemons, which watch the store, are in as many domains as there are; within a domain
+// daemons are ordered by a hash of the name.
 func (s *State) StoreRank() (place, count int) {
-	count = 1
-	self := s.opt.Self.Name
-	for name, d := range s.daemons {
-		if !s.alive(d) || d.StoreDown {
-			continue
+	self := s.opt.Self
+	order := []DaemonEntry{self}
+	for _, d := range s.daemons {
+		if s.alive(d) && !d.StoreDown {
+			order = append(order, d.DaemonEntry)
 		}
-		count++
-		if a, b := nameHash(name), nameHash(self); a < b || (a == b && name < self) {
+	}
+	byHash := func(a, b DaemonEntry) int {
+		return cmp.Or(cmp.Compare(nameHash(a.Name), nameHash(b.Name)), strings.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(order, byHash)
+	turns, turnOf := map[string]int{}, make(map[string]int, len(order))
+	for _, e := range order {
+		turnOf[e.Name] = turns[e.FailureDomain]
+		turns[e.FailureDomain]++
+	}
+	for _, e := range order {
+		if turn := turnOf[e.Name]; turn < turnOf[self.Name] || turn == turnOf[self.Name] && byHash(e, self) < 0 {
 			place++
 		}
 	}
-	return place, count
+	return place, len(order)
 }
 
 // updateWatcher decides whether this daemon watches the store.
