--- a/pkg/cli/edge_logs.go
+++ b/pkg/cli/edge_logs.go
@@ -46,7 +46,8 @@
 func readLogs(env *Env, paths []string, each func(logLine) error) (skippedLines, error) {
 	var skipped skippedLines
 	if len(paths) == 0 {
-		return skipped, scanLog(env.Stdin, "-", &skipped, each)
+		err := scanLog(env.Stdin, "-", &skipped, each)
+		return skipped, err
 	}
 	for _, path := range paths {
 		f, err := os.Open(path)
