--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -52,9 +52,7 @@
 	var out []DaemonEntry
 	for class, byDomain := range slices.Backward(byClass[:]) {
 		for _, list := range byDomain {
-			slices.SortFunc(list, func(a, b DaemonEntry) int {
-				return cmp.Or(cmp.Compare(nameHash(a.Name), nameHash(b.Name)), strings.Compare(a.Name, b.Name))
-			})
+			slices.SortFunc(list, compareByHash)
 		}
 		order := s.domainOrder(byDomain)
 		for turn, before := 0, -1; len(out) > before; turn++ {
@@ -139,6 +137,11 @@
 	return 0
 }
 
+// compareByHash orders daemons by a hash of the name, which is the same at all daemons.
+func compareByHash(a, b DaemonEntry) int {
+	return cmp.Or(cmp.Compare(nameHash(a.Name), nameHash(b.Name)), strings.Compare(a.Name, b.Name))
+}
+
 func nameHash(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -108,17 +107,14 @@
 			order = append(order, d.DaemonEntry)
 		}
 	}
-	byHash := func(a, b DaemonEntry) int {
-		return cmp.Or(cmp.Compare(nameHash(a.Name), nameHash(b.Name)), strings.Compare(a.Name, b.Name))
-	}
-	slices.SortFunc(order, byHash)
+	slices.SortFunc(order, compareByHash)
 	turns, turnOf := map[string]int{}, make(map[string]int, len(order))
 	for _, e := range order {
 		turnOf[e.Name] = turns[e.FailureDomain]
 		turns[e.FailureDomain]++
 	}
 	for _, e := range order {
-		if turn := turnOf[e.Name]; turn < turnOf[self.Name] || turn == turnOf[self.Name] && byHash(e, self) < 0 {
+		if turn := turnOf[e.Name]; turn < turnOf[self.Name] || turn == turnOf[self.Name] && compareByHash(e, self) < 0 {
 			place++
 		}
 	}
