gateway: leafs and evacuations are compared by a revision of their own

Cause: daemons compared one "view revision", the greater of the revisions of the latest change of leafs and of evacuations. Equal numbers hide that a daemon lacks an earlier change of the other kind, and a change that is applied after a later one of the other kind was never told.

Who else compared it, all mended: the choice of the view to fetch, the reading again by daemons that watch, a daemon's own gossip, metric and status. The configuration has its own version; views are exchanged by kind already. A change is now an event of the reducer, so that it is told at once instead of with the next event. Daemons of earlier versions get the greater revision in the old field.

Metric view_revision is now leafs_revision and evacuations_revision.

--- a/measure/fleet/store.go
+++ b/measure/fleet/store.go
@@ -85,7 +85,7 @@
 	d.step(gateway.ConfigSeen{Config: &copied, Source: source})
 	if revision > d.viewRevision {
 		d.viewRevision = revision
-		d.state.SetViewRevision(revision)
 		d.step(gateway.ServersListed{Servers: d.w.store.servers})
+		d.step(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: revision}})
 	}
 }
--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -104,13 +104,13 @@
 // WriteText implements Result.
 func (s edgeStatus) WriteText(w io.Writer) error {
 	st := s.Status
-	out := fmt.Sprintf("%s: ready %v, configuration %d, view revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.ViewRevision, st.ViewAge)
+	out := fmt.Sprintf("%s: ready %v, configuration %d, leafs revision %d, evacuations revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.View.Servers, st.View.Evacuations, st.ViewAge)
 	out += fmt.Sprintf("store: watched %v, down %v\n", st.Watcher, st.StoreDown)
 	out += fmt.Sprintf("leafs: %d, cold %d, suspect %d\n", st.Leafs, st.ColdLeafs, st.SuspectLeafs)
 	out += fmt.Sprintf("open: %d requests, %d calls, %d queued; least retry budget %.1f, throttle %.2f, share %.3f\n",
 		st.OpenRequests, st.OpenCalls, st.Queued, st.LeastTokens, st.Throttle, st.Share)
 	for _, d := range s.Daemons {
-		out += fmt.Sprintf("daemon %s: alive %v, active %v, heard %d ms ago, configuration %d, view %d\n", d.Name, d.Alive, d.Active, d.HeardMS, d.ConfigVersion, d.ViewRevision)
+		out += fmt.Sprintf("daemon %s: alive %v, active %v, heard %d ms ago, configuration %d, leafs %d, evacuations %d\n", d.Name, d.Alive, d.Active, d.HeardMS, d.ConfigVersion, d.View.Servers, d.View.Evacuations)
 	}
 	_, err := io.WriteString(w, out)
 	return err
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -106,6 +106,10 @@
 // EvacuationsListed is the full list of failure domains that must get no work.
 type EvacuationsListed struct{ FailureDomains []string }
 
+// ViewAdvanced has the store's revisions of changes that were applied before, by kind; 0
+// for a kind without one.
+type ViewAdvanced struct{ Revisions ViewRevisions }
+
 // DaemonsListed is the full list of daemons in the store.
 type DaemonsListed struct{ Daemons []DaemonEntry }
 
@@ -143,6 +147,7 @@
 func (ServerChanged) event()     {}
 func (ServerRemoved) event()     {}
 func (EvacuationsListed) event() {}
+func (ViewAdvanced) event()      {}
 func (DaemonsListed) event()     {}
 func (GossipReceived) event()    {}
 func (StoreReached) event()      {}
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -112,6 +112,8 @@
 		s.serverRemoved(e)
 	case EvacuationsListed:
 		s.evacuationsListed(e)
+	case ViewAdvanced:
+		s.viewAdvanced(e)
 	case DaemonsListed:
 		s.daemonsListed(e)
 	case GossipReceived:
@@ -249,7 +251,7 @@
 	ConfigVersion uint64
 	// ViewAge is for how long the list of leafs has not been confirmed.
 	ViewAge      time.Duration
-	ViewRevision uint64
+	View         ViewRevisions
 	Ready        bool
 	Watcher      bool
 	StoreDown    bool
@@ -274,7 +276,7 @@
 func (s *State) Status() Status {
 	_, daemons := s.StoreRank()
 	out := Status{
-		ConfigVersion: s.Version(), ViewAge: s.viewAge(), ViewRevision: s.members.viewRevision, Ready: s.Ready(),
+		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
 		Watcher: s.members.watcher, StoreDown: s.storeDown, Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -78,9 +78,8 @@
 	FailureDomain string      `json:"failureDomain"`
 	State         DaemonState `json:"state"`
 	ConfigVersion uint64      `json:"configVersion"`
-	// ViewRevision is the store's revision of the latest change of leafs or evacuations
-	// that the daemon knows of.
-	ViewRevision uint64 `json:"viewRevision"`
+	// View has the revisions of the latest changes that the daemon knows of.
+	View ViewRevisions `json:"view"`
 	// StoreDown means that the daemon's calls to the store fail.
 	StoreDown bool `json:"storeDown"`
 	// Cores is the CPU time that the daemon may use, in cores.
@@ -127,15 +126,15 @@
 	// newerConfigSince is when another daemon was first known to have a newer
 	// configuration; 0 if none has.
 	newerConfigSince model.Time
-	viewRevision     uint64
+	// view has the revisions of the latest changes that this daemon has applied.
+	view ViewRevisions
 	// peerOutageAt is when another daemon last reported that it cannot reach the store.
 	peerOutageAt model.Time
-	// behindSince is when another daemon was first known to have seen a change, of
-	// revision behindRevision, that this one has not; refreshedRevision is the revision
-	// up to which the store has been read again for that reason.
-	behindSince       model.Time
-	behindRevision    uint64
-	refreshedRevision uint64
+	// behindSince is when another daemon was first known to have seen a change that this
+	// one has not; 0 if there is none. refreshed has the revisions up to which the store
+	// has been read again for that reason.
+	behindSince model.Time
+	refreshed   ViewRevisions
 	// callsPerSecond is the rate of attempts measured last, at callRateAt; callRateFrom
 	// is the last attempt before that time.
 	callsPerSecond int
@@ -155,7 +154,7 @@
 	e := s.opt.Self
 	e.Counter = s.members.counter
 	e.ConfigVersion = s.Version()
-	e.ViewRevision = s.members.viewRevision
+	e.View = s.members.view
 	e.StoreDown = s.storeDown
 	e.CallsPerSecond = s.members.callsPerSecond
 	switch {
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -90,9 +90,9 @@
 	h := newHarness(t)
 	h.listLeafs(1, "x")
 	h.configure(1, nil, plainRoute("/r/", "x"))
-	h.s.SetViewRevision(5)
+	h.step(ViewAdvanced{ViewRevisions{Servers: 5}})
 	newer := peerEntry("d2", 1, DaemonReady)
-	newer.ConfigVersion, newer.ViewRevision = 2, 5
+	newer.ConfigVersion, newer.View.Servers = 2, 5
 	h.step(GossipReceived{Daemons: []DaemonEntry{peerEntry("d2", 0, DaemonReady)}})
 	h.step(GossipReceived{Daemons: []DaemonEntry{newer}})
 	h.advance(time.Second)
@@ -103,7 +103,7 @@
 	h.otherEffects = nil
 	h.step(StoreReached{OK: false})
 	h.advance(time.Second)
-	newer.Counter, newer.ViewRevision = 2, 9
+	newer.Counter, newer.View.Servers = 2, 9
 	h.step(GossipReceived{Daemons: []DaemonEntry{newer}})
 	h.advance(600 * time.Millisecond)
 	if !fetchedViewFrom(h, "d2:70") {
@@ -117,11 +117,11 @@
 	h := newHarness(t)
 	h.listLeafs(1, "x")
 	h.configure(1, nil, plainRoute("/r/", "x"))
-	h.s.SetViewRevision(5)
+	h.step(ViewAdvanced{ViewRevisions{Servers: 5}})
 	h.advance(2 * time.Second)
 	for i := range 6 {
 		e := peerEntry("d2", uint64(i+1), DaemonReady)
-		e.ConfigVersion, e.ViewRevision = 1, 8
+		e.ConfigVersion, e.View.Servers = 1, 8
 		h.step(GossipReceived{Daemons: []DaemonEntry{e}})
 		h.advance(400 * time.Millisecond)
 	}
@@ -255,7 +255,7 @@
 	h.listLeafs(1, "x")
 	h.configure(1, nil, plainRoute("/r/", "x"))
 	e := peerEntry("d2", 1, DaemonReady)
-	e.ConfigVersion, e.ViewRevision = 1, 9
+	e.ConfigVersion, e.View.Servers = 1, 9
 	h.step(GossipReceived{Daemons: []DaemonEntry{e}})
 	if !fetchedViewFrom(h, "d2:70") {
 		t.Error("the newer view of another daemon is not fetched at once")
@@ -367,7 +367,7 @@
 	entry := func(name, domain string, revision uint64, cutOff bool) DaemonEntry {
 		return DaemonEntry{
 			Name: name, Incarnation: 1, Counter: 1, CallerAddress: "10.0.0.2:80", PeerAddress: name + ":70",
-			FailureDomain: domain, State: DaemonReady, ConfigVersion: revision, ViewRevision: revision, StoreDown: cutOff,
+			FailureDomain: domain, State: DaemonReady, ConfigVersion: revision, View: ViewRevisions{Servers: revision, Evacuations: revision}, StoreDown: cutOff,
 		}
 	}
 	h.step(GossipReceived{Daemons: []DaemonEntry{entry("cut", "a", 10, true), entry("far", "b", 20, false)}})
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -7,11 +7,28 @@
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
-// SetViewRevision records the store's revision of the latest change of leafs and
-// evacuations that this daemon has applied.
-func (s *State) SetViewRevision(r uint64) {
-	if r > s.members.viewRevision {
-		s.members.viewRevision = r
+// ViewRevisions are the store's revisions of the latest changes that a daemon knows of.
+// Each kind has its own: a daemon may know the latest change of one kind and lack an
+// earlier one of the other.
+type ViewRevisions struct {
+	Servers     uint64 `json:"servers"`
+	Evacuations uint64 `json:"evacuations"`
+}
+
+// merge returns the greater revision of each kind.
+func (v ViewRevisions) merge(w ViewRevisions) ViewRevisions {
+	return ViewRevisions{Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations)}
+}
+
+// exceeds reports whether v has a greater revision of any kind than w.
+func (v ViewRevisions) exceeds(w ViewRevisions) bool {
+	return v.Servers > w.Servers || v.Evacuations > w.Evacuations
+}
+
+// viewAdvanced records the revisions of changes that this daemon has applied.
+func (s *State) viewAdvanced(e ViewAdvanced) {
+	if e.Revisions.exceeds(s.members.view) {
+		s.members.view = s.members.view.merge(e.Revisions)
 		s.members.selfGossipPending = true
 	}
 }
@@ -31,8 +48,8 @@
 	m := &s.members
 	newer := best.ConfigVersion > s.Version()
 	awaitWatch := newer && s.config != nil && m.watcher && !s.storeDown && s.now.Sub(m.newerConfigSince) < configFetchDelay
-	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storeOutageDelay && best.ViewRevision > m.viewRevision
-	if (newer && !awaitWatch) || stale || !m.watcher || (!s.serversKnown && best.ViewRevision > 0) {
+	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storeOutageDelay && best.View.exceeds(m.view)
+	if (newer && !awaitWatch) || stale || !m.watcher || (!s.serversKnown && best.View.Servers > 0) {
 		pause := watcherFetchInterval
 		if !m.watcher {
 			pause = minFetchInterval
@@ -46,19 +63,19 @@
 // change for viewRefreshDelay: this daemon's own watch may have broken off unnoticed.
 func (s *State) refreshView() {
 	m := &s.members
-	newest := uint64(0)
+	newest := ViewRevisions{}
 	for _, d := range s.daemons {
 		if s.alive(d) {
-			newest = max(newest, d.ViewRevision)
+			newest = newest.merge(d.View)
 		}
 	}
 	switch {
-	case !m.watcher || s.storeDown || newest <= m.viewRevision || newest <= m.refreshedRevision:
-		m.behindRevision = 0
-	case m.behindRevision == 0:
-		m.behindRevision, m.behindSince = newest, s.now
+	case !m.watcher || s.storeDown || !newest.exceeds(m.view.merge(m.refreshed)):
+		m.behindSince = 0
+	case m.behindSince == 0:
+		m.behindSince = s.now
 	case s.now.Sub(m.behindSince) >= viewRefreshDelay:
-		m.refreshedRevision, m.behindRevision = newest, 0
+		m.refreshed, m.behindSince = newest, 0
 		s.emit(RefreshView{})
 	}
 }
@@ -75,7 +92,8 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion), cmp.Compare(a.ViewRevision, b.ViewRevision),
+		cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
+		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
 	) > 0
 }
 
@@ -85,7 +103,7 @@
 	var best *daemon
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
-		if !s.alive(d) || (d.ConfigVersion <= s.Version() && d.ViewRevision <= s.members.viewRevision) {
+		if !s.alive(d) || (d.ConfigVersion <= s.Version() && !d.View.exceeds(s.members.view)) {
 			continue
 		}
 		if best == nil || s.betterView(d, best) {
--- /dev/null
+++ b/pkg/core/gateway/views_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a daemon that knows the latest change of one kind and therefore does
+// not learn of an earlier change of the other kind from another daemon or the store.
+func TestRevisionsAreComparedByKind(t *testing.T) {
+	for name, c := range map[string]struct{ own, other ViewRevisions }{
+		"evacuation before a change of leafs": {ViewRevisions{Servers: 123}, ViewRevisions{Servers: 123, Evacuations: 122}},
+		"report of a leaf before an evacuation": {
+			ViewRevisions{Servers: 135, Evacuations: 137}, ViewRevisions{Servers: 136, Evacuations: 137},
+		},
+	} {
+		h := newHarness(t)
+		h.listLeafs(1, "x")
+		h.configure(1, nil, plainRoute("/r/", "x"))
+		h.step(ViewAdvanced{c.own})
+		e := peerEntry("d2", 1, DaemonReady)
+		e.ConfigVersion, e.View = 1, c.other
+		h.step(GossipReceived{Daemons: []DaemonEntry{e}})
+		if !fetchedViewFrom(h, "d2:70") {
+			t.Errorf("%s: a daemon that does not watch the store does not fetch the view", name)
+		}
+		h.advance(2 * time.Second)
+		e.Counter = 2
+		h.step(GossipReceived{Daemons: []DaemonEntry{e}})
+		h.advance(viewRefreshDelay + gossipInterval)
+		if !h.s.members.watcher || !containsEffect[RefreshView](h) {
+			t.Errorf("%s: a daemon that watches the store does not read it again", name)
+		}
+	}
+}
+
+// Guards against a change that other daemons are not told of because this daemon told
+// them of a later change of the other kind before.
+func TestEarlierChangeOfOtherKindIsGossiped(t *testing.T) {
+	h := newHarness(t)
+	h.listLeafs(1, "x")
+	h.step(GossipReceived{Daemons: []DaemonEntry{peerEntry("d2", 1, DaemonReady)}})
+	h.step(ViewAdvanced{ViewRevisions{Evacuations: 137}})
+	h.advance(time.Second)
+	h.otherEffects = nil
+	h.step(ViewAdvanced{ViewRevisions{Servers: 136}})
+	h.advance(minGossipInterval + time.Millisecond)
+	for _, e := range h.otherEffects {
+		if g, ok := e.(Gossip); ok && g.Daemons[0].View == (ViewRevisions{Servers: 136, Evacuations: 137}) {
+			return
+		}
+	}
+	t.Errorf("the change is not gossiped: %+v", h.otherEffects)
+}
+
+func containsEffect[E Effect](h *harness) bool {
+	for _, e := range h.otherEffects {
+		if _, ok := e.(E); ok {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -1,5 +1,7 @@
 package edge
 
+import "github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+
 // Revisions returns the revision of the store up to which each kind is known.
 func (f *Follower) Revisions() map[Kind]uint64 {
 	f.mu.Lock()
@@ -113,7 +115,7 @@
 	for _, c := range changes {
 		f.postServerChange(c, afterOutage)
 	}
-	f.setViewRevision(known.Changed)
+	f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: known.Changed}})
 }
 
 // recordChanges records the changes of a kind; ok is false if the kind was not listed
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -178,14 +178,6 @@
 	return r.core.OpenQueries()
 }
 
-// SetViewRevision records the store's revision of the latest known change of leafs and
-// evacuations.
-func (r *Runtime) SetViewRevision(revision uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.core.SetViewRevision(revision)
-}
-
 // StoreRank returns this daemon's rank, from 0, among the daemons that are alive and
 // reach the store, and the number of those that watch the store.
 func (r *Runtime) StoreRank() (place, watchers int) {
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -44,10 +44,9 @@
 
 // Follower keeps a view of the store and posts its changes as events.
 type Follower struct {
-	store           Store
-	decoder         Decoder
-	post            func(gateway.Event)
-	setViewRevision func(uint64)
+	store   Store
+	decoder Decoder
+	post    func(gateway.Event)
 	// onInvalid and rank are described in FollowerConfig.
 	onInvalid func(kind Kind, name string, err error)
 	rank      func() (place, count int)
@@ -80,9 +79,6 @@
 	Store   Store
 	Decoder Decoder
 	Post    func(gateway.Event)
-	// SetView is called with the revision of the latest change of leafs and
-	// evacuations.
-	SetView func(uint64)
 	// OnInvalid is called for objects that cannot be decoded, for panics while a kind
 	// is followed, and for daemons whose entry could not be removed.
 	OnInvalid func(kind Kind, name string, err error)
@@ -94,7 +90,7 @@
 // NewFollower returns a Follower that knows no kind yet.
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
-		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, setViewRevision: c.SetView, onInvalid: c.OnInvalid, rank: c.Rank,
+		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, rank: c.Rank,
 		view: map[Kind]KindState{}, beforeRelist: map[Kind]KindState{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, lastWatchChanged: map[Kind]bool{},
 		daemonsListed: make(chan struct{}), registerRequests: make(chan struct{}, 1),
 	}
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -26,7 +26,7 @@
 // an earlier incarnation.
 func FuzzGossip(f *testing.F) {
 	other := gateway.DaemonEntry{Name: "d2", Incarnation: 7, Counter: 1, CallerAddress: "d2:80", PeerAddress: "d2:70",
-		FailureDomain: "b", State: gateway.DaemonReady, ConfigVersion: 3, ViewRevision: 9, Cores: 0.4, CallsPerSecond: 100}
+		FailureDomain: "b", State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 9, Evacuations: 5}, Cores: 0.4, CallsPerSecond: 100}
 	self := gateway.DaemonEntry{Name: "d1", Incarnation: 9, PeerAddress: "d1:70"}
 	greatest := self
 	greatest.Incarnation = math.MaxUint64
@@ -67,7 +67,7 @@
 func TestGossipRoundTrip(t *testing.T) {
 	want := []gateway.DaemonEntry{
 		{Name: "a", Incarnation: 1, Counter: 2, CallerAddress: "1.1.1.1:1", PeerAddress: "1.1.1.1:2", FailureDomain: "d",
-			State: gateway.DaemonReady, ConfigVersion: 3, ViewRevision: 4, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
+			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
 		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
 	}
 	data, err := encodeGossip(want)
@@ -92,7 +92,7 @@
 			return
 		}
 		follower := NewFollower(FollowerConfig{
-			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {}, SetView: func(uint64) {},
+			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {},
 			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 		})
 		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, 5), sourceStore, false)
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -19,7 +19,8 @@
 		message.Daemons[i] = &gossippb.Daemon{
 			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
-			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, ViewRevision: e.ViewRevision, StoreDown: e.StoreDown,
+			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
+			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations,
 			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
 		}
 	}
@@ -41,7 +42,7 @@
 		entries[i] = gateway.DaemonEntry{
 			Name: d.GetName(), Incarnation: d.GetIncarnation(), Counter: d.GetCounter(),
 			CallerAddress: d.GetCallerAddress(), PeerAddress: d.GetPeerAddress(), FailureDomain: d.GetFailureDomain(),
-			State: decodeState(d.GetState()), ConfigVersion: d.GetConfigVersion(), ViewRevision: d.GetViewRevision(), StoreDown: d.GetStoreDown(),
+			State: decodeState(d.GetState()), ConfigVersion: d.GetConfigVersion(), View: decodeRevisions(d), StoreDown: d.GetStoreDown(),
 			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
 		}
 		if err := validateEntry(entries[i]); err != nil {
@@ -69,8 +70,8 @@
 	switch {
 	case e.Name == "" || len(e.Name) > maxNameBytes || len(e.FailureDomain) > maxNameBytes:
 		return fmt.Errorf("%w: name empty, or name or failure domain too long: %.40q, %.40q", ErrGossip, e.Name, e.FailureDomain)
-	case e.ConfigVersion > maxExactNumber || e.ViewRevision > maxExactNumber:
-		return fmt.Errorf("%w: %s: config version %d or view revision %d too large", ErrGossip, e.Name, e.ConfigVersion, e.ViewRevision)
+	case max(e.ConfigVersion, e.View.Servers, e.View.Evacuations) > maxExactNumber:
+		return fmt.Errorf("%w: %s: config version %d, servers revision %d or evacuations revision %d too large", ErrGossip, e.Name, e.ConfigVersion, e.View.Servers, e.View.Evacuations)
 	case !(e.Cores >= 0 && e.Cores <= maxDaemonCores):
 		return fmt.Errorf("%w: %s: %v cores out of range", ErrGossip, e.Name, e.Cores)
 	}
@@ -85,6 +86,15 @@
 	return nil
 }
 
+// decodeRevisions returns the revisions of a daemon's view. A daemon of an earlier
+// version tells only the greater of them, which then counts as both.
+func decodeRevisions(d *gossippb.Daemon) gateway.ViewRevisions {
+	if d.GetServersRevision() == 0 && d.GetEvacuationsRevision() == 0 {
+		return gateway.ViewRevisions{Servers: d.GetViewRevision(), Evacuations: d.GetViewRevision()}
+	}
+	return gateway.ViewRevisions{Servers: d.GetServersRevision(), Evacuations: d.GetEvacuationsRevision()}
+}
+
 func encodeState(s gateway.DaemonState) gossippb.State {
 	switch s {
 	case gateway.DaemonReady:
--- a/pkg/edge/gossipbytes_test.go
+++ b/pkg/edge/gossipbytes_test.go
@@ -59,7 +59,7 @@
 		step(gateway.GossipReceived{Daemons: entries})
 		if now >= model.Time(revision)*model.Time(200*time.Millisecond) {
 			revision++
-			s.SetViewRevision(revision)
+			step(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: revision}})
 		}
 		step(gateway.Tick{})
 	}
--- a/pkg/edge/gossipcheck_test.go
+++ b/pkg/edge/gossipcheck_test.go
@@ -15,14 +15,15 @@
 func TestInvalidGossipIsRefused(t *testing.T) {
 	good := gateway.DaemonEntry{
 		Name: "edge-1", Incarnation: 1_790_000_000_000, Counter: 7, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:70",
-		FailureDomain: "osijek-a", State: gateway.DaemonReady, ConfigVersion: 9, ViewRevision: 12, Cores: 0.4,
+		FailureDomain: "osijek-a", State: gateway.DaemonReady, ConfigVersion: 9, View: gateway.ViewRevisions{Servers: 12, Evacuations: 11}, Cores: 0.4,
 	}
 	for name, change := range map[string]func(*gateway.DaemonEntry){
 		"no name":        func(e *gateway.DaemonEntry) { e.Name = "" },
 		"long name":      func(e *gateway.DaemonEntry) { e.Name = strings.Repeat("x", maxNameBytes+1) },
 		"long domain":    func(e *gateway.DaemonEntry) { e.FailureDomain = strings.Repeat("x", maxNameBytes+1) },
 		"version":        func(e *gateway.DaemonEntry) { e.ConfigVersion = math.MaxUint64 },
-		"revision":       func(e *gateway.DaemonEntry) { e.ViewRevision = math.MaxUint64 },
+		"servers":        func(e *gateway.DaemonEntry) { e.View.Servers = math.MaxUint64 },
+		"evacuations":    func(e *gateway.DaemonEntry) { e.View.Evacuations = math.MaxUint64 },
 		"cores":          func(e *gateway.DaemonEntry) { e.Cores = math.NaN() },
 		"negative cores": func(e *gateway.DaemonEntry) { e.Cores = -1 },
 		"caller address": func(e *gateway.DaemonEntry) { e.CallerAddress = "nowhere" },
--- /dev/null
+++ b/pkg/edge/modelfleet_test.go
@@ -0,0 +1,255 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/leafconn"
+)
+
+// modelFleet is a fleet of daemons, each with the real reducer, runtime and follower,
+// over a model of the store and of the links between daemons. It runs in a synctest
+// bubble.
+type modelFleet struct {
+	t       *testing.T
+	store   *modelStore
+	daemons []*modelDaemon
+	byPeer  map[string]*modelDaemon
+	// drainBound and evacuateBound are how long after a change is acknowledged a daemon in
+	// touch may still act on what was before; contact is how long a daemon runs before it
+	// counts as in touch.
+	drainBound, evacuateBound, contact time.Duration
+}
+
+// modelDaemon is one VM with its daemon; run is nil while no process runs.
+type modelDaemon struct {
+	fleet *modelFleet
+	entry gateway.DaemonEntry
+	seed  bool
+	run   *modelRun
+}
+
+// modelRun is one process of a daemon. It implements PeerLink.
+type modelRun struct {
+	daemon    *modelDaemon
+	runtime   *Runtime
+	follower  *Follower
+	cancel    context.CancelFunc
+	startedAt time.Time
+}
+
+var modelDomains = []string{"osijek-a", "osijek-b", "vukovar"}
+
+// newModelFleet starts a fleet with leafs in three domains and waits until it is calm.
+// The bounds are those of the deployments of that size.
+func newModelFleet(t *testing.T, size int) *modelFleet {
+	f := &modelFleet{t: t, store: newModelStore(), byPeer: map[string]*modelDaemon{}, drainBound: 3 * time.Second, evacuateBound: 5 * time.Second, contact: 4 * time.Second}
+	if size > 60 {
+		f.drainBound, f.contact = 6*time.Second, 6*time.Second
+	}
+	f.store.put(KindConfig, configName, gateway.Config{Version: 7})
+	for i := range 24 {
+		f.putLeaf(i, false)
+	}
+	for i := range size {
+		domain := modelDomains[i%len(modelDomains)]
+		d := &modelDaemon{fleet: f, seed: i < 3, entry: gateway.DaemonEntry{
+			Name: fmt.Sprintf("edge-%s-%d", domain, i), CallerAddress: fmt.Sprintf("10.1.%d.%d:8104", i/250, i%250),
+			PeerAddress: fmt.Sprintf("10.1.%d.%d:7380", i/250, i%250), FailureDomain: domain, Cores: 0.4,
+		}}
+		f.daemons = append(f.daemons, d)
+		f.byPeer[d.entry.PeerAddress] = d
+	}
+	for _, d := range f.daemons {
+		d.start()
+	}
+	t.Cleanup(func() {
+		for _, d := range f.daemons {
+			d.kill()
+		}
+		// The bubble's time stops when the test ends; what still runs ends before.
+		time.Sleep(callTimeout + watchGrace)
+	})
+	time.Sleep(10 * time.Second)
+	return f
+}
+
+func leafName(i int) string { return fmt.Sprintf("i-%02d", i) }
+
+// putLeaf writes the entry of a leaf; leaf i is in domain i modulo 3.
+func (f *modelFleet) putLeaf(i int, draining bool) time.Time {
+	return f.store.put(KindServers, leafName(i), gateway.Server{
+		ID: leafName(i), Service: "x", Address: "10.9.0.1:80", FailureDomain: modelDomains[i%len(modelDomains)], Slots: 4, Draining: draining,
+		WarmUpLeft: time.Duration(rand.IntN(2)) * time.Millisecond,
+	})
+}
+
+func (d *modelDaemon) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	self := d.entry
+	self.Incarnation = uint64(time.Now().UnixMilli())
+	regions := map[string]string{}
+	for _, domain := range modelDomains {
+		regions[domain] = "slavonija"
+	}
+	var seeds []string
+	for _, other := range d.fleet.daemons[:3] {
+		seeds = append(seeds, other.entry.PeerAddress)
+	}
+	run := &modelRun{daemon: d, cancel: cancel, startedAt: time.Now()}
+	onPanic := func(where string, err error) { d.fleet.t.Errorf("%s: %v", where, err) }
+	run.runtime = New(Config{
+		Core: gateway.New(gateway.Options{
+			Self: self, RegionOf: regions, RetryRatio: 0.2, RetrySlack: 40, MaxSilence: 1200 * time.Millisecond, Seed: rand.Uint64(), Seeds: seeds, IsSeed: d.seed,
+		}),
+		Pool: leafconn.NewPool(nil, leafconn.NewBudget(1<<20)), Log: func(gateway.Log) {}, OnLimits: func(gateway.Limits) {}, OnPanic: onPanic,
+	})
+	run.follower = NewFollower(FollowerConfig{
+		Store: modelStoreClient{d.fleet.store, d.entry.Name}, Decoder: modelDecoder{}, Post: run.runtime.Post,
+		OnInvalid: func(kind Kind, name string, err error) { d.fleet.t.Errorf("%s %s: %v", kind, name, err) }, Rank: run.runtime.StoreRank,
+	})
+	run.runtime.Link(run, run.follower)
+	d.run = run
+	for _, kind := range Kinds {
+		go func() { _ = run.follower.Follow(ctx, kind) }()
+	}
+	go func() { _ = run.follower.KeepRegistered(ctx, d.entry, func() {}) }()
+	run.runtime.Post(gateway.Tick{})
+}
+
+func (d *modelDaemon) kill() {
+	if d.run != nil {
+		d.run.cancel()
+		d.run.runtime.timer.Stop()
+	}
+	d.run = nil
+}
+
+// restart kills random daemons at one moment and starts them again 0.3 s later.
+func (f *modelFleet) restart(count int) {
+	killed := rand.Perm(len(f.daemons))[:count]
+	for _, i := range killed {
+		f.daemons[i].kill()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, i := range killed {
+		f.daemons[i].start()
+	}
+}
+
+// peerDelay is the delay of a message between daemons.
+const peerDelay = time.Millisecond
+
+// Gossip implements PeerLink.
+func (r *modelRun) Gossip(to []string, entries []gateway.DaemonEntry) {
+	data, err := encodeGossip(entries)
+	if err != nil {
+		r.daemon.fleet.t.Error(err)
+		return
+	}
+	if r.daemon.run != r {
+		return
+	}
+	for _, address := range to {
+		target := r.daemon.fleet.byPeer[address]
+		time.AfterFunc(peerDelay, func() {
+			decoded, err := decodeGossip(data)
+			if err != nil {
+				r.daemon.fleet.t.Error(err)
+				return
+			}
+			if run := target.run; run != nil {
+				run.runtime.Post(gateway.GossipReceived{Daemons: decoded})
+			}
+		})
+	}
+}
+
+// FetchView implements PeerLink.
+func (r *modelRun) FetchView(from string) {
+	go func() {
+		since := r.follower.Revisions()
+		time.Sleep(2 * peerDelay)
+		source := r.daemon.fleet.byPeer[from].run
+		if source == nil {
+			return
+		}
+		data, err := json.Marshal(source.follower.View(since))
+		if err != nil {
+			r.daemon.fleet.t.Error(err)
+			return
+		}
+		time.Sleep(2 * peerDelay)
+		var view View
+		if err := json.Unmarshal(data, &view); err != nil {
+			r.daemon.fleet.t.Error(err)
+			return
+		}
+		r.follower.Adopt(view, since)
+	}()
+}
+
+// modelDecoder decodes the reducer's own types.
+type modelDecoder struct{}
+
+// Config implements Decoder.
+func (modelDecoder) Config(v json.RawMessage) (*gateway.Config, error) {
+	var c gateway.Config
+	return &c, json.Unmarshal(v, &c)
+}
+
+// Server implements Decoder.
+func (modelDecoder) Server(_ string, v json.RawMessage) (gateway.Server, error) {
+	var s gateway.Server
+	return s, json.Unmarshal(v, &s)
+}
+
+// inTouch returns the processes that have run for the contact time.
+func (f *modelFleet) inTouch() []*modelRun {
+	var out []*modelRun
+	for _, d := range f.daemons {
+		if d.run != nil && time.Since(d.run.startedAt) >= f.contact {
+			out = append(out, d.run)
+		}
+	}
+	return out
+}
+
+// checkUnused reports daemons in touch that would send requests to a leaf that unused
+// accepts.
+func (f *modelFleet) checkUnused(what string, unused func(gateway.LeafStatus) bool) {
+	f.t.Helper()
+	broken := 0
+	for _, run := range f.inTouch() {
+		run.runtime.Inspect(func(s *gateway.State) {
+			for _, leaf := range s.Leafs("") {
+				if unused(leaf) && !leaf.Draining && !leaf.Evacuated {
+					if broken++; broken <= 3 {
+						f.t.Errorf("%s: %s uses leaf %s of %s", what, run.daemon.entry.Name, leaf.ID, leaf.FailureDomain)
+					}
+				}
+			}
+		})
+	}
+	if broken > 3 {
+		f.t.Errorf("%s: %d daemons and leafs in all", what, broken)
+	}
+}
+
+func (f *modelFleet) checkEvacuated(what, domain string) {
+	f.t.Helper()
+	f.checkUnused(what, func(l gateway.LeafStatus) bool { return l.FailureDomain == domain })
+}
+
+func (f *modelFleet) checkLeafUnused(what string, i int) {
+	f.t.Helper()
+	f.checkUnused(what, func(l gateway.LeafStatus) bool { return l.ID == leafName(i) })
+}
+
+// sleepUntil waits until d after a moment.
+func sleepUntil(from time.Time, d time.Duration) { time.Sleep(time.Until(from.Add(d))) }
--- /dev/null
+++ b/pkg/edge/modelstore_test.go
@@ -0,0 +1,216 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+)
+
+// modelStore is a store with a history, whose lists may be old, whose watches may break
+// off silently, and which may turn daemons away.
+type modelStore struct {
+	mu       sync.Mutex
+	revision uint64
+	history  []modelChange
+	// kept is the revision from which on changes can be watched.
+	kept uint64
+	// staleAge returns the age of the copy that answers a daemon's list which may be stale.
+	staleAge func(daemon string) time.Duration
+	// muted is the number of times that the running watches broke off silently.
+	muted int
+	// isDown reports whether the store turns a daemon away.
+	isDown func(daemon string) bool
+	// calls counts the calls of each daemon.
+	calls map[string]int
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+type modelChange struct {
+	kind Kind
+	at   time.Time
+	Change
+}
+
+const modelCallTime = 4 * time.Millisecond
+
+func newModelStore() *modelStore {
+	return &modelStore{revision: 100, isDown: func(string) bool { return false }, staleAge: func(string) time.Duration { return 0 }, calls: map[string]int{}, changed: make(chan struct{})}
+}
+
+func (s *modelStore) put(kind Kind, name string, value any) time.Time {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return s.write(kind, Change{Object: Object{Name: name, Value: data}})
+}
+
+func (s *modelStore) remove(kind Kind, name string) time.Time {
+	return s.write(kind, Change{Object: Object{Name: name}, Deleted: true})
+}
+
+func (s *modelStore) write(kind Kind, c Change) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	c.Object.Revision = s.revision
+	now := time.Now()
+	s.history = append(s.history, modelChange{kind, now, c})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return now
+}
+
+// mute makes the running watches silent for good.
+func (s *modelStore) mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted++
+}
+
+// forget drops the history up to now.
+func (s *modelStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.revision
+}
+
+// setDown makes the store turn daemons away from now on.
+func (s *modelStore) setDown(isDown func(daemon string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+}
+
+// stateAt returns the objects of a kind at a time, and the store's revision then. The
+// caller holds the lock.
+func (s *modelStore) stateAt(kind Kind, at time.Time) ([]Object, uint64) {
+	revision := uint64(100)
+	objects := map[string]Object{}
+	for _, c := range s.history {
+		if c.at.After(at) {
+			break
+		}
+		revision = c.Object.Revision
+		switch {
+		case c.kind != kind:
+		case c.Deleted:
+			delete(objects, c.Object.Name)
+		default:
+			objects[c.Object.Name] = c.Object
+		}
+	}
+	var out []Object
+	for _, o := range objects {
+		out = append(out, o)
+	}
+	return out, revision
+}
+
+// modelStoreClient is a daemon's client of the store. It implements Store.
+type modelStoreClient struct {
+	*modelStore
+	daemon string
+}
+
+// begin counts a call and lets its time pass.
+func (c modelStoreClient) begin() error {
+	time.Sleep(modelCallTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls[c.daemon]++
+	if c.isDown(c.daemon) {
+		return ErrStore
+	}
+	return nil
+}
+
+func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error) {
+	if err := c.begin(); err != nil {
+		return nil, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := time.Now()
+	if mayBeStale {
+		at = at.Add(-c.staleAge(c.daemon))
+	}
+	objects, revision := c.stateAt(kind, at)
+	return objects, revision, nil
+}
+
+func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+	if err := c.begin(); err != nil {
+		return nil, 0, err
+	}
+	end := time.After(wait)
+	c.mu.Lock()
+	begun := c.muted
+	c.mu.Unlock()
+	for ended := false; ; {
+		c.mu.Lock()
+		if c.muted != begun {
+			c.mu.Unlock()
+			<-ctx.Done()
+			return nil, 0, ErrStore
+		}
+		if since < c.kept {
+			c.mu.Unlock()
+			return nil, 0, ErrHistoryGone
+		}
+		var out []Change
+		first, _ := slices.BinarySearchFunc(c.history, since+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
+		for _, m := range c.history[first:] {
+			if m.kind == kind {
+				out = append(out, m.Change)
+			}
+		}
+		revision, changed := c.revision, c.changed
+		c.mu.Unlock()
+		if len(out) > 0 || ended {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			ended = true
+		case <-ctx.Done():
+			return nil, 0, ErrStore
+		}
+	}
+}
+
+func (c modelStoreClient) Create(_ context.Context, kind Kind, name string, value any) (Object, error) {
+	if err := c.begin(); err != nil {
+		return Object{}, err
+	}
+	c.mu.Lock()
+	objects, _ := c.stateAt(kind, time.Now())
+	c.mu.Unlock()
+	for _, o := range objects {
+		if o.Name == name {
+			return o, ErrConflict
+		}
+	}
+	c.put(kind, name, value)
+	return Object{Name: name}, nil
+}
+
+func (c modelStoreClient) Replace(_ context.Context, kind Kind, o Object, value any) error {
+	if err := c.begin(); err != nil {
+		return err
+	}
+	c.put(kind, o.Name, value)
+	return nil
+}
+
+func (c modelStoreClient) Remove(_ context.Context, kind Kind, name string) error {
+	if err := c.begin(); err != nil {
+		return err
+	}
+	c.remove(kind, name)
+	return nil
+}
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -142,7 +142,7 @@
 func newRecordingFollower(s Store) *recordingFollower {
 	f := &recordingFollower{leafs: map[string]bool{}}
 	f.Follower = NewFollower(FollowerConfig{
-		Store: s, Decoder: fakeDecoder{}, Post: f.record, SetView: func(uint64) {},
+		Store: s, Decoder: fakeDecoder{}, Post: f.record,
 		OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 	})
 	return f
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -33,14 +33,14 @@
 		f.postConfig(known.Objects, source)
 	case KindServers:
 		f.post(f.decodeServers(known.Objects, afterOutage))
-		f.setViewRevision(known.Changed)
+		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: known.Changed}})
 	case KindEvacuations:
 		e := gateway.EvacuationsListed{}
 		for name := range known.Objects {
 			e.FailureDomains = append(e.FailureDomains, name)
 		}
 		f.post(e)
-		f.setViewRevision(known.Changed)
+		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Evacuations: known.Changed}})
 	case KindDaemons:
 		f.post(f.decodeDaemons(known.Objects))
 	}
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
 // Guards against daemons of two program versions that do not understand each other
@@ -19,7 +21,7 @@
 func TestMessagesOfOtherVersions(t *testing.T) {
 	entry := gateway.DaemonEntry{
 		Name: "edge-1", Incarnation: 9, Counter: 7, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:70",
-		FailureDomain: "a", State: gateway.DaemonReady, ConfigVersion: 3, ViewRevision: 4, Cores: 0.4,
+		FailureDomain: "a", State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 6}, Cores: 0.4,
 	}
 	data, err := encodeGossip([]gateway.DaemonEntry{entry})
 	if err != nil {
@@ -44,6 +46,16 @@
 	if entries, err := decodeGossip(earlier); err != nil || len(entries) != 1 || entries[0].Cores != 0 {
 		t.Errorf("gossip of an earlier version: %+v, %v", entries, err)
 	}
+	// An earlier version has one revision for leafs and evacuations, in field 9.
+	earlier = protowire.AppendTag(nil, 1, protowire.BytesType)
+	earlier = protowire.AppendBytes(earlier, append(protowire.AppendBytes(protowire.AppendTag(nil, 1, protowire.BytesType), []byte("edge-3")), protowire.AppendVarint(protowire.AppendTag(nil, 9, protowire.VarintType), 7)...))
+	if entries, err := decodeGossip(earlier); err != nil || len(entries) != 1 || entries[0].View != (gateway.ViewRevisions{Servers: 7, Evacuations: 7}) {
+		t.Errorf("gossip with one revision: %+v, %v", entries, err)
+	}
+	var sent gossippb.Gossip
+	if err := proto.Unmarshal(data, &sent); err != nil || sent.GetDaemons()[0].GetViewRevision() != 6 {
+		t.Errorf("a daemon of an earlier version gets revision %d, %v; want the greater one", sent.GetDaemons()[0].GetViewRevision(), err)
+	}
 	for name, view := range map[string]string{
 		"later":   `{"kinds":{"servers":{"revision":9,"changed":9,"objects":{"b":{"name":"b","revision":9,"value":1,"new":true}},"deleted":{},"since":0,"more":[1]},"future":{"revision":9}},"new":{}}`,
 		"earlier": `{"kinds":{"servers":{"revision":9,"objects":{"b":{"name":"b","revision":9,"value":1}}}}}`,
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -154,7 +154,7 @@
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
-		SetView: d.runtime.SetViewRevision, OnInvalid: d.logInvalidObject, Rank: d.runtime.StoreRank,
+		OnInvalid: d.logInvalidObject, Rank: d.runtime.StoreRank,
 	})
 	registerStatus(d.registry, d.status, d.log.Dropped)
 	registerLoad(d.registry, d.budget.Used, lagProbe.Lag)
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -163,7 +163,8 @@
 		return 0
 	}
 	gauge("config_version", "Version of the configuration in force; 0 for none.", func(s gateway.Status) float64 { return float64(s.ConfigVersion) })
-	gauge("view_revision", "Store revision of the latest known change of leafs.", func(s gateway.Status) float64 { return float64(s.ViewRevision) })
+	gauge("leafs_revision", "Store revision of the latest known change of leafs.", func(s gateway.Status) float64 { return float64(s.View.Servers) })
+	gauge("evacuations_revision", "Store revision of the latest known change of evacuations.", func(s gateway.Status) float64 { return float64(s.View.Evacuations) })
 	gauge("view_age_seconds", "Time for which the list of leafs could not be confirmed.", func(s gateway.Status) float64 { return s.ViewAge.Seconds() })
 	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return toFloat(s.Ready) })
 	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return toFloat(s.Watcher) })
