edge: what a daemon lists at its start is confirmed by the store

What callers would have seen: after a restart of all daemons, requests reach a leaf whose entry was removed before, until the next change of leafs (DRAIN).

Cause: a list does not say what was deleted before it. A current list without a leaf and an old one with it show the same latest change, so that daemons with the old list ask nobody.

Mend: after its lists of leafs and evacuations at the start, each daemon makes one short watch of both, and tries again every 1 to 3 s if the store turns it away.

TestFollowerAdopts now waits until the follower that does not watch has confirmed its list: it would read the change from the store itself otherwise.

--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -37,6 +37,11 @@
 	// 0.5 to 1.5 times the backoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
+	// confirmPause is the mean pause after a failed call of a daemon that calls the store
+	// only to confirm what it listed at its start.
+	confirmPause = 2 * time.Second
+	// unknownWait is waited, unless something changes, if nothing is to be done.
+	unknownWait = time.Hour
 	// outageGracePeriod is how long after a failed call entries that are missing from
 	// the store may still come back.
 	outageGracePeriod = 2500 * time.Millisecond
@@ -66,6 +71,11 @@
 	// kinds whose next watch is to be short.
 	cancelWatch map[Kind]context.CancelFunc
 	refreshDue  map[Kind]bool
+	// unconfirmed are the kinds whose state comes from a list that may be old, until a
+	// call to the store has confirmed it or brought what is newer.
+	// It is not called for that before confirmAfter.
+	unconfirmed  map[Kind]bool
+	confirmAfter time.Time
 	// lastWatchChanged are the kinds whose last list or watch brought a change.
 	lastWatchChanged map[Kind]bool
 	// daemonsListed is closed once the daemons were listed.
@@ -91,7 +101,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, rank: c.Rank,
-		view: map[Kind]KindState{}, beforeRelist: map[Kind]KindState{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, lastWatchChanged: map[Kind]bool{},
+		view: map[Kind]KindState{}, beforeRelist: map[Kind]KindState{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{}, lastWatchChanged: map[Kind]bool{},
 		daemonsListed: make(chan struct{}), registerRequests: make(chan struct{}, 1),
 	}
 }
@@ -127,9 +137,15 @@
 }
 
 // listAtStart lists a kind when the daemon starts. The list may be seconds old, which
-// is cheap for the store while many daemons of a fleet start; watches or other daemons
-// deliver what is newer.
+// is cheap for the store while many daemons of a fleet start. Of leafs and evacuations a
+// short watch then brings what is newer: other daemons' revisions do not show that this
+// list lacks a deletion, since a list does not say what was deleted before it.
 func (f *Follower) listAtStart(ctx context.Context, kind Kind) error {
+	if kind == KindServers || kind == KindEvacuations {
+		f.mu.Lock()
+		f.unconfirmed[kind] = true
+		f.mu.Unlock()
+	}
 	return f.listKind(ctx, kind, true)
 }
 
@@ -143,29 +159,48 @@
 	f.recordStoreCall(err)
 }
 
-// awaitSyncNeeded waits until the store is to be queried for the kind. While calls
-// fail, only the configuration is queried, to find out when the store works again. It
-// reports false when ctx has ended.
+// awaitSyncNeeded waits until the store is to be queried for the kind. It reports false
+// when ctx has ended.
 func (f *Follower) awaitSyncNeeded(ctx context.Context, kind Kind) bool {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		wanted := f.watching || f.refreshDue[kind]
-		if f.failing && kind != KindConfig {
-			wanted = false
-		}
+		wait := f.untilSync(kind)
 		wakeup := f.wakeup
 		f.mu.Unlock()
-		if wanted {
+		if wait <= 0 {
 			return true
 		}
+		recheck := time.NewTimer(wait)
 		select {
 		case <-wakeup:
+		case <-recheck.C:
 		case <-ctx.Done():
 		}
+		recheck.Stop()
 	}
 	return false
 }
 
+// untilSync returns the time until the store is to be queried for the kind, as far as is
+// known. While calls fail, only the configuration is queried, to find out when the store
+// works again. The caller holds the lock.
+func (f *Follower) untilSync(kind Kind) time.Duration {
+	unconfirmed := f.unconfirmed[kind]
+	if f.failing {
+		if kind != KindConfig {
+			return unknownWait
+		}
+		unconfirmed = len(f.unconfirmed) > 0
+	}
+	switch {
+	case f.watching || f.refreshDue[kind]:
+		return 0
+	case unconfirmed:
+		return time.Until(f.confirmAfter)
+	}
+	return unknownWait
+}
+
 // retryConfigNow interrupts the watch of the configuration: after a failure the loops
 // of the other kinds wait until a call for the configuration works.
 func (f *Follower) retryConfigNow() { f.interruptWatches(KindConfig) }
@@ -223,9 +258,18 @@
 	}
 	f.recordStoreCall(nil)
 	f.applyChanges(kind, changes, revision, sourceStore, f.afterOutage())
+	f.confirm(kind)
 	return nil
 }
 
+// confirm records that the state of a kind is as new as a call to the store that has
+// just ended.
+func (f *Follower) confirm(kind Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.unconfirmed, kind)
+}
+
 // watchWait returns how long to wait for changes of a kind. A change ends the watches
 // of all daemons at once, so the next wait depends on the daemon's rank; later waits
 // are equal and keep the daemons apart. The caller holds the lock.
@@ -234,6 +278,9 @@
 		delete(f.refreshDue, kind)
 		return refreshWait
 	}
+	if f.unconfirmed[kind] && !f.watching {
+		return refreshWait
+	}
 	if kind == KindDaemons {
 		return maxWatchWait
 	}
@@ -263,6 +310,9 @@
 	}
 	f.recordStoreCall(nil)
 	f.replaceState(kind, newKindState(objects, revision), sourceStore, f.afterOutage())
+	if !mayBeStale {
+		f.confirm(kind)
+	}
 	return nil
 }
 
@@ -282,6 +332,7 @@
 	f.mu.Lock()
 	if !ok {
 		f.lastFailure = time.Now()
+		f.confirmAfter = f.lastFailure.Add(confirmPause/2 + rand.N(confirmPause))
 	}
 	if f.failing == ok {
 		f.failing = !ok
--- a/pkg/edge/modelviews_test.go
+++ b/pkg/edge/modelviews_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
 // eachFleet runs a test with a fleet of each size that it guards.
@@ -41,6 +43,30 @@
 	})
 }
 
+// Guards against daemons that restart with an older list of leafs than those that watch
+// the store, whose watches bring no change, and use a leaf that was removed before
+// (DRAIN).
+func TestRemovalIsKnownAfterRestartOfAll(t *testing.T) {
+	eachFleet(t, 8, func(t *testing.T, f *modelFleet) {
+		watches := map[string]bool{}
+		for _, d := range f.daemons {
+			// Seeds watch until they hear the others.
+			d.run.runtime.Inspect(func(s *gateway.State) { watches[d.entry.Name] = d.seed || s.Status().Watcher })
+		}
+		f.store.staleAge = func(daemon string) time.Duration {
+			if watches[daemon] {
+				return 0
+			}
+			return 3 * time.Second
+		}
+		removed := f.store.remove(KindServers, leafName(3))
+		time.Sleep(time.Second)
+		f.restart(len(f.daemons))
+		sleepUntil(removed, max(f.drainBound, 1300*time.Millisecond+f.contact)+10*time.Millisecond)
+		f.checkLeafUnused("after a restart of all", 3)
+	})
+}
+
 // Guards against a leaf's report that daemons which do not watch the store never hear of
 // because an evacuation, which is later, reaches them first (DRAIN).
 func TestLeafReportBesideEvacuation(t *testing.T) {
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -27,6 +27,9 @@
 	silent bool
 	// created counts the calls of Create.
 	created int
+	// old, if set, answers lists that may be stale, as of oldRevision.
+	old         []Object
+	oldRevision uint64
 }
 
 func (s *fakeStore) put(name, value string) {
@@ -47,13 +50,16 @@
 }
 
 // List implements Store.
-func (s *fakeStore) List(context.Context, Kind, bool) ([]Object, uint64, error) {
+func (s *fakeStore) List(_ context.Context, _ Kind, mayBeStale bool) ([]Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return nil, 0, ErrStore
 	}
+	if mayBeStale && s.old != nil {
+		return s.old, s.oldRevision, nil
+	}
 	var out []Object
 	for _, o := range s.objects {
 		out = append(out, o)
@@ -187,6 +193,21 @@
 	}
 }
 
+// awaitConfirmed waits until no kind is left whose list may be old.
+func (f *recordingFollower) awaitConfirmed(t *testing.T, bound time.Duration) {
+	t.Helper()
+	unconfirmed := func() int {
+		f.Follower.mu.Lock()
+		defer f.Follower.mu.Unlock()
+		return len(f.unconfirmed)
+	}
+	for end := time.Now().Add(bound); unconfirmed() > 0; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d kinds are unconfirmed after %v", unconfirmed(), bound)
+		}
+	}
+}
+
 func startFollowing(t *testing.T, f *recordingFollower) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -258,6 +279,7 @@
 	startFollowing(t, watching)
 	startFollowing(t, other)
 	other.awaitLeafs(t, time.Second, "[a]")
+	other.awaitConfirmed(t, time.Second)
 	s.put("b", "1")
 	s.remove("a")
 	watching.awaitLeafs(t, time.Second, "[b]")
@@ -319,6 +341,42 @@
 	}
 }
 
+// Guards against a daemon that does not watch the store and uses a leaf that its old
+// list at the start still has: it must read what is newer, also if the store turns it
+// away at first, and then leave the store alone.
+func TestOldListAtStartIsConfirmed(t *testing.T) {
+	for _, turnedAway := range []bool{false, true} {
+		s := newFakeStore()
+		s.old, s.oldRevision = []Object{s.objects["a"]}, s.revision
+		s.put("b", "1")
+		s.remove("a")
+		f := newRecordingFollower(s)
+		if turnedAway {
+			f.SetWatching(true)
+			s.down = true
+			startFollowing(t, f)
+			f.SetWatching(false)
+			time.Sleep(200 * time.Millisecond)
+			s.mu.Lock()
+			s.down = false
+			s.mu.Unlock()
+		} else {
+			startFollowing(t, f)
+		}
+		f.awaitLeafs(t, 2*confirmPause+refreshWait, "[b]")
+		f.awaitConfirmed(t, 2*confirmPause+refreshWait)
+		s.mu.Lock()
+		calls := s.calls
+		s.mu.Unlock()
+		time.Sleep(2 * refreshWait)
+		s.mu.Lock()
+		if s.calls != calls {
+			t.Errorf("turned away %v: %d calls after the list was confirmed", turnedAway, s.calls-calls)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Guards against deletions that are kept for other daemons without bound.
 func TestDeletionsAreBounded(t *testing.T) {
 	f := newKindState(nil, 1)
