edge: the known state stays in use while the store's history is lost

What callers would have seen: while the store forgets its history, a daemon whose new list is delayed can use leafs and failure domains again that were withdrawn. Found while looking for who else compares revisions of views.

Cause: the follower dropped the state of a kind when the store no longer had its changes, and took over the view of any other daemon meanwhile, since there was nothing to compare it with.

Mend: the state is kept, and other views are compared with it, until the new list replaces it. TestOlderViewIsRefusedWhileHistoryIsGone failed before ("leafs [a] after 0s, want [b]") and passes.

--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -77,12 +77,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok := f.view[kind]
+	relisted := ok && f.relistDue[kind] && source == sourceStore
+	if relisted {
+		delete(f.relistDue, kind)
+	}
 	if ok && known.Revision >= next.Revision {
 		return false
 	}
-	if old, had := f.beforeRelist[kind]; had && source == sourceStore {
-		next.continueFrom(old)
-		delete(f.beforeRelist, kind)
+	if relisted {
+		next.continueFrom(known)
 	}
 	f.view[kind] = next
 	f.lastWatchChanged[kind] = true
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -59,9 +59,9 @@
 	mu          sync.Mutex
 	view        map[Kind]KindState
 	lastFailure time.Time
-	// beforeRelist holds states whose history the store dropped, until their kinds are
-	// listed again.
-	beforeRelist map[Kind]KindState
+	// relistDue are the kinds that are to be listed again because the store dropped their
+	// history. Their states stay in use until then.
+	relistDue map[Kind]bool
 	// failing means that the last call to the store failed. wakeup is closed and
 	// replaced to wake the loops in awaitSyncNeeded.
 	failing  bool
@@ -101,7 +101,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, rank: c.Rank,
-		view: map[Kind]KindState{}, beforeRelist: map[Kind]KindState{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{}, lastWatchChanged: map[Kind]bool{},
+		view: map[Kind]KindState{}, relistDue: map[Kind]bool{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{}, lastWatchChanged: map[Kind]bool{},
 		daemonsListed: make(chan struct{}), registerRequests: make(chan struct{}, 1),
 	}
 }
@@ -123,7 +123,7 @@
 				sleep(ctx, leafWatchPause)
 			}
 		case errors.Is(err, ErrHistoryGone):
-			f.discardState(kind)
+			f.requestRelist(kind)
 		default:
 			f.reportFailure(kind, err)
 			if kind != KindConfig {
@@ -241,6 +241,7 @@
 	place, count := f.rank()
 	f.mu.Lock()
 	known, ok := f.view[kind]
+	ok = ok && !f.relistDue[kind]
 	wait := f.watchWait(kind, place, count)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	f.cancelWatch[kind] = cancel
@@ -316,13 +317,12 @@
 	return nil
 }
 
-// discardState makes the next syncOnce list the kind, because the store no longer has
+// requestRelist makes the next syncOnce list the kind, because the store no longer has
 // its changes.
-func (f *Follower) discardState(kind Kind) {
+func (f *Follower) requestRelist(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.beforeRelist[kind] = f.view[kind]
-	delete(f.view, kind)
+	f.relistDue[kind] = true
 }
 
 // recordStoreCall records and posts whether a call to the store worked. Invariant: the
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -22,7 +22,9 @@
 	// historyGone are the kinds whose next watch fails with ErrHistoryGone.
 	historyGone map[Kind]bool
 	down        bool
-	calls       int
+	// listsFail makes lists fail while watches work.
+	listsFail bool
+	calls     int
 	// silent makes watches return nothing until their context ends.
 	silent bool
 	// created counts the calls of Create.
@@ -54,7 +56,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if s.down {
+	if s.down || s.listsFail {
 		return nil, 0, ErrStore
 	}
 	if mayBeStale && s.old != nil {
@@ -413,6 +415,37 @@
 	}
 }
 
+// Guards against a daemon that takes over an older view of another daemon, with leafs
+// that were removed, while it lists anew what the store's lost history does not tell.
+func TestOlderViewIsRefusedWhileHistoryIsGone(t *testing.T) {
+	s := newFakeStore()
+	older := newRecordingFollower(s)
+	startFollowing(t, older)
+	older.awaitLeafs(t, time.Second, "[a]")
+	older.awaitConfirmed(t, time.Second)
+	s.put("b", "1")
+	s.remove("a")
+	f := newRecordingFollower(s)
+	f.SetWatching(true)
+	startFollowing(t, f)
+	f.awaitLeafs(t, time.Second, "[b]")
+	s.mu.Lock()
+	s.historyGone, s.changes, s.listsFail = map[Kind]bool{KindServers: true, KindConfig: true}, nil, true
+	s.mu.Unlock()
+	time.Sleep(2 * fleetWatchInterval)
+	since := f.Revisions()
+	f.Adopt(older.View(since), since)
+	f.awaitLeafs(t, 0, "[b]")
+	if got := f.View(nil).Kinds[KindServers].Revision; got < 3 {
+		t.Errorf("other daemons are told revision %d, want that of the last change", got)
+	}
+	s.mu.Lock()
+	s.listsFail = false
+	s.mu.Unlock()
+	s.put("c", "1")
+	f.awaitLeafs(t, 2*time.Second, "[b c]")
+}
+
 // Guards against a daemon that takes its view for current because a list in several pages
 // holds a late change, although an earlier one is missing: it would not ask others for
 // the rest, and send requests to leafs that have left.
