edge: a start while the store turns the daemon away is confirmed, too

The loop of the configuration, which alone calls the store while calls fail, had looked before the other loops asked for their confirmation, and nothing woke it.

--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -142,9 +142,7 @@
 // list lacks a deletion, since a list does not say what was deleted before it.
 func (f *Follower) listAtStart(ctx context.Context, kind Kind) error {
 	if kind == KindServers || kind == KindEvacuations {
-		f.mu.Lock()
-		f.unconfirmed[kind] = true
-		f.mu.Unlock()
+		f.requestConfirmation(kind)
 	}
 	return f.listKind(ctx, kind, true)
 }
@@ -263,6 +261,16 @@
 	return nil
 }
 
+// requestConfirmation makes awaitSyncNeeded ask for a watch of the kind even if this daemon
+// is not to watch the store. The loop of the configuration is woken because it tries again
+// after failures on behalf of such kinds.
+func (f *Follower) requestConfirmation(kind Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unconfirmed[kind] = true
+	f.wakeLoops()
+}
+
 // confirm records that the state of a kind is as new as a call to the store that has
 // just ended.
 func (f *Follower) confirm(kind Kind) {
