edge: changes reach the reducer in the order in which they are recorded

What callers would have seen: a daemon that gets two changes from two sources at the same moment keeps the older one in force until the next change, and sends to an evacuated failure domain or a draining leaf.

Cause: the follower posted a change after it had released the lock under which it recorded it.

TestChangesArePostedInTheirOrder failed before (told last of the evacuations [a], while the later view has two) and passes.

--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -65,6 +65,8 @@
 // replaceState takes over and posts the whole state of a kind if it is newer than the
 // known one.
 func (f *Follower) replaceState(kind Kind, next KindState, source string, afterOutage bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	if f.storeStateIfNewer(kind, next, source) {
 		f.postState(kind, source, afterOutage)
 	}
@@ -107,6 +109,8 @@
 // applyChanges records and posts the changes of a kind up to a revision, unless the
 // kind was not listed yet or a later revision is known.
 func (f *Follower) applyChanges(kind Kind, changes []Change, revision uint64, source string, afterOutage bool) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	known, ok := f.recordChanges(kind, changes, revision)
 	if !ok || len(changes) == 0 {
 		return
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -56,6 +56,10 @@
 	onInvalid func(kind Kind, name string, err error)
 	rank      func() (place, count int)
 
+	// applying is held while a change is recorded and posted, so that events arrive in
+	// the order of the changes. It is taken before mu, never after it.
+	applying sync.Mutex
+
 	mu          sync.Mutex
 	view        map[Kind]KindState
 	lastFailure time.Time
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -446,6 +446,48 @@
 	f.awaitLeafs(t, 2*time.Second, "[b c]")
 }
 
+// Guards against two sources of changes, as a watch and another daemon's view, whose
+// changes reach the reducer in another order than that in which they were recorded: an
+// older list of evacuations would stay in force.
+func TestChangesArePostedInTheirOrder(t *testing.T) {
+	var mu sync.Mutex
+	var last gateway.EvacuationsListed
+	firstPosted, release := make(chan struct{}), make(chan struct{})
+	f := NewFollower(FollowerConfig{
+		Store: newFakeStore(), Decoder: fakeDecoder{}, OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
+		Post: func(e gateway.Event) {
+			listed, ok := e.(gateway.EvacuationsListed)
+			if !ok {
+				return
+			}
+			if len(listed.FailureDomains) == 1 {
+				close(firstPosted)
+				<-release
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			last = listed
+		},
+	})
+	view := func(revision uint64, domains ...string) View {
+		state := KindState{Revision: revision, Changed: revision, Objects: map[string]Object{}, Deleted: map[string]uint64{}}
+		for _, domain := range domains {
+			state.Objects[domain] = Object{Name: domain, Revision: revision}
+		}
+		return View{Kinds: map[Kind]KindState{KindEvacuations: state}}
+	}
+	var adopting sync.WaitGroup
+	adopting.Go(func() { f.Adopt(view(5, "a"), nil) })
+	<-firstPosted
+	adopting.Go(func() { f.Adopt(view(6, "a", "b"), nil) })
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	adopting.Wait()
+	if len(last.FailureDomains) != 2 {
+		t.Errorf("the reducer was told last of the evacuations %v, want those of the later view", last.FailureDomains)
+	}
+}
+
 // Guards against a daemon that takes its view for current because a list in several pages
 // holds a late change, although an earlier one is missing: it would not ask others for
 // the rest, and send requests to leafs that have left.
