--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,12 +27,12 @@
 	drainBound, evacuateBound, contact time.Duration
 }
 
-// modelDaemon is one VM with its daemon; run is nil while no process runs.
+// modelDaemon is one VM with its daemon; run holds nil while no process runs.
 type modelDaemon struct {
 	fleet *modelFleet
 	entry gateway.DaemonEntry
 	seed  bool
-	run   *modelRun
+	run   atomic.Pointer[modelRun]
 }
 
 // modelRun is one process of a daemon. It implements PeerLink.
@@ -114,7 +115,7 @@
 		OnInvalid: func(kind Kind, name string, err error) { d.fleet.t.Errorf("%s %s: %v", kind, name, err) }, Rank: run.runtime.StoreRank,
 	})
 	run.runtime.Link(run, run.follower)
-	d.run = run
+	d.run.Store(run)
 	for _, kind := range Kinds {
 		go func() { _ = run.follower.Follow(ctx, kind) }()
 	}
@@ -123,11 +124,10 @@
 }
 
 func (d *modelDaemon) kill() {
-	if d.run != nil {
-		d.run.cancel()
-		d.run.runtime.timer.Stop()
+	if run := d.run.Swap(nil); run != nil {
+		run.cancel()
+		run.runtime.timer.Stop()
 	}
-	d.run = nil
 }
 
 // restart kills random daemons at one moment and starts them again 0.3 s later.
@@ -152,7 +152,7 @@
 		r.daemon.fleet.t.Error(err)
 		return
 	}
-	if r.daemon.run != r {
+	if r.daemon.run.Load() != r {
 		return
 	}
 	for _, address := range to {
@@ -163,7 +163,7 @@
 				r.daemon.fleet.t.Error(err)
 				return
 			}
-			if run := target.run; run != nil {
+			if run := target.run.Load(); run != nil {
 				run.runtime.Post(gateway.GossipReceived{Daemons: decoded})
 			}
 		})
@@ -175,7 +175,7 @@
 	go func() {
 		since := r.follower.Revisions()
 		time.Sleep(2 * peerDelay)
-		source := r.daemon.fleet.byPeer[from].run
+		source := r.daemon.fleet.byPeer[from].run.Load()
 		if source == nil {
 			return
 		}
@@ -213,8 +213,8 @@
 func (f *modelFleet) inTouch() []*modelRun {
 	var out []*modelRun
 	for _, d := range f.daemons {
-		if d.run != nil && time.Since(d.run.startedAt) >= f.contact {
-			out = append(out, d.run)
+		if run := d.run.Load(); run != nil && time.Since(run.startedAt) >= f.contact {
+			out = append(out, run)
 		}
 	}
 	return out
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -78,6 +78,13 @@
 	s.kept = s.revision
 }
 
+// setStaleAge sets the age of the copies that answer lists which may be stale.
+func (s *modelStore) setStaleAge(age func(daemon string) time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleAge = age
+}
+
 // setDown makes the store turn daemons away from now on.
 func (s *modelStore) setDown(isDown func(daemon string) bool) {
 	s.mu.Lock()
--- a/pkg/edge/modelviews_test.go
+++ b/pkg/edge/modelviews_test.go
@@ -32,7 +32,7 @@
 // of leafs, and send to the evacuated domain until something else changes (EVAC).
 func TestEvacuationIsKnownAfterRestart(t *testing.T) {
 	eachFleet(t, 8, func(t *testing.T, f *modelFleet) {
-		f.store.staleAge = func(string) time.Duration { return time.Duration(rand.IntN(2)) * 3 * time.Second }
+		f.store.setStaleAge(func(string) time.Duration { return time.Duration(rand.IntN(2)) * 3 * time.Second })
 		acknowledged := f.store.put(KindEvacuations, "osijek-b", struct{}{})
 		time.Sleep(300 * time.Millisecond)
 		f.putLeaf(0, false)
@@ -51,14 +51,14 @@
 		watches := map[string]bool{}
 		for _, d := range f.daemons {
 			// Seeds watch until they hear the others.
-			d.run.runtime.Inspect(func(s *gateway.State) { watches[d.entry.Name] = d.seed || s.Status().Watcher })
+			d.run.Load().runtime.Inspect(func(s *gateway.State) { watches[d.entry.Name] = d.seed || s.Status().Watcher })
 		}
-		f.store.staleAge = func(daemon string) time.Duration {
+		f.store.setStaleAge(func(daemon string) time.Duration {
 			if watches[daemon] {
 				return 0
 			}
 			return 3 * time.Second
-		}
+		})
 		removed := f.store.remove(KindServers, leafName(3))
 		time.Sleep(time.Second)
 		f.restart(len(f.daemons))
