gateway: the view of another daemon is fetched after a fetch failed

What callers would have seen: while packets between failure domains pass one way only, daemons that do not watch the store use withdrawn leafs and evacuated domains until the links are sound, although daemons of a third domain could have told them.

Cause: the daemon whose view is fetched is chosen among those that are heard, and nothing was remembered of a fetch that failed or hung; the next one went to the same daemon.

Mend: the end of a fetch is an event (ViewFetched). Daemons of a domain from which a fetch failed less than 2 s ago, or has been running for 0.3 s, come last.

--- a/measure/fleet/daemon.go
+++ b/measure/fleet/daemon.go
@@ -144,9 +144,15 @@
 	case gateway.FetchView:
 		run := d.run
 		w.after(4*daemonDistance, func() {
-			if from := w.byPeer[e.From]; from != nil && from.running && from.state.Ready() && d.run == run && d.running {
+			if d.run != run || !d.running {
+				return
+			}
+			from := w.byPeer[e.From]
+			ok := from != nil && from.running && from.state.Ready()
+			if ok {
 				d.takeView(w.store.config, from.viewRevision, "daemon")
 			}
+			d.step(gateway.ViewFetched{Fetch: e, OK: ok})
 		})
 	case gateway.WatchStore:
 		if d.watching = e.On; e.On {
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -110,6 +110,13 @@
 // for a kind without one.
 type ViewAdvanced struct{ Revisions ViewRevisions }
 
+// ViewFetched reports the end of a FetchView.
+type ViewFetched struct {
+	Fetch FetchView
+	// OK means that the view was received and applied.
+	OK bool
+}
+
 // DaemonsListed is the full list of daemons in the store.
 type DaemonsListed struct{ Daemons []DaemonEntry }
 
@@ -148,6 +155,7 @@
 func (ServerRemoved) event()     {}
 func (EvacuationsListed) event() {}
 func (ViewAdvanced) event()      {}
+func (ViewFetched) event()       {}
 func (DaemonsListed) event()     {}
 func (GossipReceived) event()    {}
 func (StoreReached) event()      {}
@@ -252,8 +260,12 @@
 	Daemons []DaemonEntry
 }
 
-// FetchView reads the configuration and the leafs from another daemon.
-type FetchView struct{ From string }
+// FetchView reads the configuration and the leafs from another daemon. ViewFetched
+// follows.
+type FetchView struct {
+	// Daemon is the name of the daemon, From its ip:port.
+	Daemon, From string
+}
 
 // WatchStore makes this daemon start or stop watching the store.
 type WatchStore struct{ On bool }
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -114,6 +114,8 @@
 		s.evacuationsListed(e)
 	case ViewAdvanced:
 		s.viewAdvanced(e)
+	case ViewFetched:
+		s.viewFetched(e)
 	case DaemonsListed:
 		s.daemonsListed(e)
 	case GossipReceived:
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -48,6 +48,12 @@
 	// watcherStartDelay is how long a daemon that has just started waits to hear others
 	// before it may watch the store. Seeds do not wait.
 	watcherStartDelay = 1200 * time.Millisecond
+	// slowFetchDelay is how long a fetch of a daemon's view may take before views of other
+	// daemons are fetched first; a fetch takes some milliseconds.
+	slowFetchDelay = 300 * time.Millisecond
+	// failedFetchDelay is how long after a failed fetch of a daemon's view views of other
+	// daemons are fetched first.
+	failedFetchDelay = 2 * time.Second
 	// storeOutageDelay is how long the store must be unreachable before another
 	// daemon's view is used.
 	storeOutageDelay = 700 * time.Millisecond
@@ -108,6 +114,9 @@
 	removalCountedFrom model.Time
 	// silent means that it was reported as silent and has not been heard since.
 	silent bool
+	// fetchingSince is when the fetch of its view began that has not ended; 0 if none is
+	// running. fetchFailedAt is when a fetch last failed; 0 if none did.
+	fetchingSince, fetchFailedAt model.Time
 	// active means that callers have been sent to it since activeSince.
 	active      bool
 	activeSince model.Time
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -55,10 +55,47 @@
 			pause = minFetchInterval
 		}
 		m.nextFetchAt = s.now.Add(pause)
-		s.emit(FetchView{From: best.PeerAddress})
+		if best.fetchingSince == 0 {
+			best.fetchingSince = s.now
+		}
+		s.emit(FetchView{Daemon: best.Name, From: best.PeerAddress})
 	}
 }
 
+// viewFetched records whether a daemon's view could be fetched.
+func (s *State) viewFetched(e ViewFetched) {
+	d, ok := s.daemons[e.Fetch.Daemon]
+	if !ok {
+		return
+	}
+	d.fetchingSince, d.fetchFailedAt = 0, 0
+	if !e.OK {
+		d.fetchFailedAt = s.now
+	}
+}
+
+// fetchFails reports whether the last fetch of a daemon's view has failed or takes long.
+// A daemon can be heard and yet not be reached, while packets pass one way only.
+func (s *State) fetchFails(d *daemon) bool {
+	return d.fetchingSince > 0 && s.now.Sub(d.fetchingSince) >= slowFetchDelay ||
+		d.fetchFailedAt > 0 && s.now.Sub(d.fetchFailedAt) < failedFetchDelay
+}
+
+// failedFetchDomains returns the failure domains with a daemon whose view could not be
+// fetched.
+func (s *State) failedFetchDomains() map[string]bool {
+	var out map[string]bool
+	for _, d := range s.daemons {
+		if s.fetchFails(d) {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[d.FailureDomain] = true
+		}
+	}
+	return out
+}
+
 // refreshView asks for the store to be read again if another daemon has known of a
 // change for viewRefreshDelay: this daemon's own watch may have broken off unnoticed.
 func (s *State) refreshView() {
@@ -81,10 +118,20 @@
 }
 
 // betterView reports whether a's view is better to fetch than b's, both being newer
-// than this daemon's: the nearer one, then the newer one. A daemon that cannot reach
-// the store does not count as near, since it may hold leafs and configurations that
+// than this daemon's: one outside of the domains from which a fetch failed, then one whose
+// own fetch did not fail, then the nearer one, then the newer one. A daemon that cannot
+// reach the store does not count as near, since it may hold leafs and configurations that
 // were withdrawn long ago.
-func (s *State) betterView(a, b *daemon) bool {
+func (s *State) betterView(a, b *daemon, failedDomains map[string]bool) bool {
+	canFetch := func(d *daemon) int {
+		switch {
+		case !failedDomains[d.FailureDomain]:
+			return 2
+		case !s.fetchFails(d):
+			return 1
+		}
+		return 0
+	}
 	near := func(d *daemon) int {
 		if d.FailureDomain == s.opt.Self.FailureDomain && !d.StoreDown {
 			return 1
@@ -92,7 +139,7 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
+		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
 	) > 0
 }
@@ -101,12 +148,13 @@
 // anything newer than this daemon.
 func (s *State) bestViewSource() *daemon {
 	var best *daemon
+	failedDomains := s.failedFetchDomains()
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
 		if !s.alive(d) || (d.ConfigVersion <= s.Version() && !d.View.exceeds(s.members.view)) {
 			continue
 		}
-		if best == nil || s.betterView(d, best) {
+		if best == nil || s.betterView(d, best, failedDomains) {
 			best = d
 		}
 	}
--- a/pkg/core/gateway/views_test.go
+++ b/pkg/core/gateway/views_test.go
@@ -61,3 +61,36 @@
 	}
 	return false
 }
+
+// Guards against a daemon that asks one daemon for its view again and again although the
+// connection fails or hangs, while others have the view as well.
+func TestViewIsFetchedFromAnotherDaemonAfterFailure(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		h := newHarness(t)
+		h.listLeafs(1, "x")
+		h.configure(1, nil, plainRoute("/r/", "x"))
+		hear := func(counter uint64) {
+			var entries []DaemonEntry
+			for i, name := range []string{"d2", "d3", "d4"} {
+				e := peerEntry(name, counter, DaemonReady)
+				e.ConfigVersion, e.View.Servers, e.FailureDomain = 1, 9, []string{"b", "b", "c"}[i]
+				entries = append(entries, e)
+			}
+			h.step(GossipReceived{Daemons: entries})
+		}
+		// d2 comes first in the order of names; d3 is in its domain.
+		hear(1)
+		if !fetchedViewFrom(h, "d2:70") {
+			t.Fatalf("the view is not fetched from the first daemon: %+v", h.otherEffects)
+		}
+		if !hangs {
+			h.step(ViewFetched{Fetch: FetchView{Daemon: "d2", From: "d2:70"}})
+		}
+		h.otherEffects = nil
+		h.advance(slowFetchDelay)
+		hear(2)
+		if !fetchedViewFrom(h, "d4:70") {
+			t.Errorf("hangs %v: the view is not fetched from another domain: %+v", hangs, h.otherEffects)
+		}
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -39,7 +39,8 @@
 // PeerLink sends messages to other daemons. Its methods must not block.
 type PeerLink interface {
 	Gossip(to []string, entries []gateway.DaemonEntry)
-	FetchView(from string)
+	// FetchView fetches and adopts a daemon's view and then posts gateway.ViewFetched.
+	FetchView(e gateway.FetchView)
 }
 
 // Observer records metrics. Its methods must not block.
@@ -138,7 +139,7 @@
 	case gateway.Gossip:
 		r.peers.Gossip(e.To, e.Daemons)
 	case gateway.FetchView:
-		r.peers.FetchView(e.From)
+		r.peers.FetchView(e)
 	case gateway.WatchStore:
 		r.store.SetWatching(e.On)
 	case gateway.RefreshView:
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -25,6 +25,9 @@
 	// touch may still act on what was before; contact is how long a daemon runs before it
 	// counts as in touch.
 	drainBound, evacuateBound, contact time.Duration
+	// oneWay, if set, reports whether connections to a daemon fail although its datagrams
+	// arrive.
+	oneWay atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
 }
 
 // modelDaemon is one VM with its daemon; run holds nil while no process runs.
@@ -44,9 +47,9 @@
 	startedAt time.Time
 }
 
-var modelDomains = []string{"osijek-a", "osijek-b", "vukovar"}
+var modelDomains = []string{"osijek-a", "osijek-b", "vukovar", "dakovo", "vinkovci"}
 
-// newModelFleet starts a fleet with leafs in three domains and waits until it is calm.
+// newModelFleet starts a fleet with leafs in all domains and waits until it is calm.
 // The bounds are those of the deployments of that size.
 func newModelFleet(t *testing.T, size int) *modelFleet {
 	f := &modelFleet{t: t, store: newModelStore(), byPeer: map[string]*modelDaemon{}, drainBound: 3 * time.Second, evacuateBound: 5 * time.Second, contact: 4 * time.Second}
@@ -82,7 +85,13 @@
 
 func leafName(i int) string { return fmt.Sprintf("i-%02d", i) }
 
-// putLeaf writes the entry of a leaf; leaf i is in domain i modulo 3.
+// unreachable reports whether connections to a daemon fail.
+func (f *modelFleet) unreachable(to, from gateway.DaemonEntry) bool {
+	oneWay := f.oneWay.Load()
+	return oneWay != nil && (*oneWay)(to, from)
+}
+
+// putLeaf writes the entry of a leaf; leaf i is in domain i modulo their number.
 func (f *modelFleet) putLeaf(i int, draining bool) time.Time {
 	return f.store.put(KindServers, leafName(i), gateway.Server{
 		ID: leafName(i), Service: "x", Address: "10.9.0.1:80", FailureDomain: modelDomains[i%len(modelDomains)], Slots: 4, Draining: draining,
@@ -171,12 +180,18 @@
 }
 
 // FetchView implements PeerLink.
-func (r *modelRun) FetchView(from string) {
+func (r *modelRun) FetchView(e gateway.FetchView) {
 	go func() {
 		since := r.follower.Revisions()
 		time.Sleep(2 * peerDelay)
-		source := r.daemon.fleet.byPeer[from].run.Load()
+		from := r.daemon.fleet.byPeer[e.From]
+		source := from.run.Load()
+		if r.daemon.fleet.unreachable(from.entry, r.daemon.entry) {
+			source = nil
+			time.Sleep(fetchTimeout)
+		}
 		if source == nil {
+			r.runtime.Post(gateway.ViewFetched{Fetch: e})
 			return
 		}
 		data, err := json.Marshal(source.follower.View(since))
@@ -191,6 +206,7 @@
 			return
 		}
 		r.follower.Adopt(view, since)
+		r.runtime.Post(gateway.ViewFetched{Fetch: e, OK: true})
 	}()
 }
 
@@ -220,6 +236,19 @@
 	return out
 }
 
+// watchingDomains returns the failure domains with a daemon that watches the store.
+func (f *modelFleet) watchingDomains() map[string]bool {
+	out := map[string]bool{}
+	for _, run := range f.inTouch() {
+		run.runtime.Inspect(func(s *gateway.State) {
+			if s.Status().Watcher {
+				out[run.daemon.entry.FailureDomain] = true
+			}
+		})
+	}
+	return out
+}
+
 // checkUnused reports daemons in touch that would send requests to a leaf that unused
 // accepts.
 func (f *modelFleet) checkUnused(what string, unused func(gateway.LeafStatus) bool) {
--- a/pkg/edge/modelviews_test.go
+++ b/pkg/edge/modelviews_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,34 @@
 	})
 }
 
+// Guards against a daemon that tries again and again to fetch the view of a daemon which
+// it hears but cannot reach, and misses an evacuation and a leaf's report that others
+// could tell it (EVAC, DRAIN). Packets pass only one way between a failure domain whose
+// daemons do not watch the store and all others but one.
+func TestChangesWhilePacketsPassOneWay(t *testing.T) {
+	eachFleet(t, 4, func(t *testing.T, f *modelFleet) {
+		watched := f.watchingDomains()
+		cut := modelDomains[slices.IndexFunc(modelDomains, func(domain string) bool { return !watched[domain] })]
+		for _, sound := range modelDomains {
+			if !watched[sound] {
+				continue
+			}
+			oneWay := func(to, from gateway.DaemonEntry) bool {
+				return from.FailureDomain == cut && to.FailureDomain != cut && to.FailureDomain != sound
+			}
+			f.oneWay.Store(&oneWay)
+			reported := f.putLeaf(3, true)
+			f.store.put(KindEvacuations, "osijek-a", struct{}{})
+			sleepUntil(reported, f.drainBound)
+			f.checkLeafUnused("only "+sound+" is reached from "+cut, 3)
+			f.checkEvacuated("only "+sound+" is reached from "+cut, "osijek-a")
+			f.putLeaf(3, false)
+			f.store.remove(KindEvacuations, "osijek-a")
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 // Guards against an evacuation and a leaf's report that daemons miss because they were
 // written right after an outage of the store (EVAC, DRAIN).
 func TestChangesAfterOutage(t *testing.T) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -109,19 +109,20 @@
 }
 
 // FetchView fetches another daemon's view in the background and adopts it.
-func (p *Peers) FetchView(from string) {
+func (p *Peers) FetchView(e gateway.FetchView) {
 	go func() {
 		err := catchPanic(func() error {
 			since := p.follower.Revisions()
-			view, err := p.requestView(from, since)
+			view, err := p.requestView(e.From, since)
 			if err == nil {
 				p.follower.Adopt(view, since)
 			}
 			return err
 		})
 		if err != nil {
-			p.onError(from, err)
+			p.onError(e.From, err)
 		}
+		p.post(gateway.ViewFetched{Fetch: e, OK: err == nil})
 	}()
 }
 
