platform: an odd entry of a leaf hides no other entry and names no leaf

What callers would have seen: one entry nested deeper than 10,000 levels makes every list and watch of leafs fail, so that all daemons go on with the leafs that they knew. Daemons did not end.

Cause: encoding/json refuses a whole reply for one such value. Besides, entries with a billion slots, a warm-up beyond the range of a duration, port 0, an unspecified address, without a version or with a sequence of another type counted as leafs, and an entry of a megabyte was sent on to other daemons, whose views have 8 MiB at most.

Entries of daemons are checked like gossip.

--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -84,6 +84,10 @@
 			continue
 		}
 		entry.Name = name
+		if err := validateEntry(entry); err != nil {
+			f.onInvalid(KindDaemons, name, err)
+			continue
+		}
 		e.Daemons = append(e.Daemons, entry)
 	}
 	return e
