gateway: requests that outlast a planned stop are refused as not run

What callers saw: on connections opened before the listener closed, requests that came in the last moments of a stop were sent to a leaf, ran, and got 504 when the stop ended, or were cut without an answer after that; also requests that must not be repeated (LOST).

Cause: the reducer did not know when the stop ends, and went on sending after it had given all open requests their last answers.

Mend: the end of the stop is part of StopRequested. A request whose answer cannot be expected before it (the latency target or twice the typical time of an attempt, whichever is longer), and which has not run, is refused at once as "stopping" with 503 and Retry-After; after the last answers all are.

--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -56,11 +56,8 @@
 // refusalReason returns the reason for refusing a request that can get no answer from a
 // leaf.
 func (s *State) refusalReason(q *query) Refusal {
-	for i := range q.parts {
-		p := &q.parts[i]
-		if p.state == partAnswered || p.mayHaveRun || p.begunCalls() > 0 {
-			return RefusalFailed
-		}
+	if q.mayHaveRun() {
+		return RefusalFailed
 	}
 	for i := range q.parts {
 		if len(q.parts[i].svc.servers) > 0 {
@@ -70,6 +67,17 @@
 	return RefusalNoServer
 }
 
+// mayHaveRun reports whether a leaf may have begun to work on the request.
+func (q *query) mayHaveRun() bool {
+	for i := range q.parts {
+		p := &q.parts[i]
+		if p.state == partAnswered || p.mayHaveRun || p.begunCalls() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) refuse(q *query, reason Refusal) {
 	if reason.NotRun() {
 		// An attempt that was not sent yet must not be sent after the refusal.
@@ -104,7 +112,7 @@
 		base = max(retryAfterNoServer, s.timeUntilEntriesReturn())
 	case RefusalOverload, RefusalThrottled:
 		base = retryAfterOverload
-	case RefusalUnreachable, RefusalTooLate:
+	case RefusalUnreachable, RefusalTooLate, RefusalStopping:
 		base = retryAfterUnreachable
 	default:
 		return 0
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -140,10 +140,12 @@
 // Tick is sent at the time that NextWake returned.
 type Tick struct{}
 
-// StopRequested starts the graceful shutdown.
-type StopRequested struct{}
+// StopRequested starts the graceful shutdown. EndsIn is the time until
+// StopEnding; 0 if it is not known.
+type StopRequested struct{ EndsIn time.Duration }
 
-// StopEnding ends the graceful shutdown: each open request gets its final answer now.
+// StopEnding ends the graceful shutdown: each open request gets its final answer now, and
+// requests that arrive later are refused.
 type StopEnding struct{}
 
 func (RequestArrived) event()    {}
@@ -221,6 +223,9 @@
 	// RefusalTooLate means that the request waited too long in this daemon to be sent
 	// to a leaf; nothing was sent.
 	RefusalTooLate
+	// RefusalStopping means that the daemon ends before an answer can be expected; nothing
+	// was sent.
+	RefusalStopping
 	RefusalOverload
 	// RefusalNoRoute means that no route matches.
 	RefusalNoRoute
@@ -230,7 +235,7 @@
 )
 
 // refusalNames are the reasons as log lines show them.
-var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "overload", "no_route", "failed", "deadline"}
+var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "overload", "no_route", "failed", "deadline"}
 
 // String returns the reason as log lines show it.
 func (r Refusal) String() string { return refusalNames[r] }
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -6,9 +6,7 @@
 package gateway
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -64,6 +62,8 @@
 	// storeFailedAt is when a call to the store last failed; 0 if none did.
 	storeFailedAt model.Time
 	stopping      bool
+	// stopEndsAt is when a stopping daemon gives its last answers.
+	stopEndsAt model.Time
 	// lastLag is how long the last request may have waited in this daemon on its arrival.
 	lastLag time.Duration
 	// lapsed is the number of leafs that are kept although their entries are
@@ -126,7 +126,7 @@
 		s.opt.RetryRatio, s.opt.RetrySlack = e.RetryRatio, e.RetrySlack
 		s.opt.MaxSilence, s.opt.Seeds = e.MaxSilence, e.Seeds
 	case StopRequested:
-		s.startShutdown()
+		s.startShutdown(e)
 	case StopEnding:
 		s.endShutdown()
 	}
@@ -230,24 +230,6 @@
 	}
 }
 
-func (s *State) startShutdown() {
-	if s.stopping {
-		return
-	}
-	s.stopping = true
-	s.members.fullGossipPending = true
-	s.emit(Log{Kind: LogStopStarted, Number: int64(len(s.queries))})
-}
-
-// endShutdown gives every open request its final answer: the parts that have arrived if
-// they are enough, otherwise a refusal, which promises that the request has not run
-// only if that is certain.
-func (s *State) endShutdown() {
-	for _, id := range slices.Sorted(maps.Keys(s.queries)) {
-		s.concludeAtDeadline(s.queries[id])
-	}
-}
-
 // Status is the part of the reducer's state that metrics show.
 type Status struct {
 	ConfigVersion uint64
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -141,6 +141,10 @@
 		s.refuse(q, RefusalTooLate)
 		return
 	}
+	if s.stopsBeforeAnswer(q) {
+		s.refuse(q, RefusalStopping)
+		return
+	}
 	if !s.enoughServices(q, s.hasUsableLeaf) {
 		s.refuse(q, RefusalNoServer)
 		return
@@ -251,6 +255,11 @@
 	if q.partialAnswerAt > s.now {
 		wake = min(wake, q.partialAnswerAt)
 	}
+	if s.stopping {
+		if at := s.lastStart(q.route); at > s.now {
+			wake = min(wake, at)
+		}
+	}
 	s.setWake(q, wake)
 }
 
@@ -277,6 +286,10 @@
 		s.concludeAtDeadline(q)
 		return
 	}
+	if !q.mayHaveRun() && s.stopsBeforeAnswer(q) {
+		s.refuse(q, RefusalStopping)
+		return
+	}
 	if q.partialAnswerAt <= s.now {
 		s.concludeQuery(q)
 	}
--- a/pkg/edged/cuthead_test.go
+++ b/pkg/edged/cuthead_test.go
@@ -31,7 +31,9 @@
 		"HTTP/1.0":        func(lines string) string { return "HTTP/1.0 200 OK\r\n" + lines + "\r\n" },
 		"line feeds":      func(lines string) string { return strings.ReplaceAll(ok+lines+"\r\n", "\r\n", "\n") },
 		"no body":         func(lines string) string { return "HTTP/1.1 204 No Content\r\n" + lines + "\r\n" },
-		"informational":   func(lines string) string { return "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + ok + lines + "\r\n" },
+		"informational": func(lines string) string {
+			return "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n" + ok + lines + "\r\n"
+		},
 	} {
 		var sent atomic.Int64
 		cut, length := 0, len(head(lines))
--- a/pkg/edged/stop.go
+++ b/pkg/edged/stop.go
@@ -51,8 +51,9 @@
 // all requests are answered, or at the latest at the end of Settings.StopTimeout.
 func (d *daemon) stop(done <-chan struct{}) {
 	started := time.Now()
-	d.runtime.Post(gateway.StopRequested{})
-	deadline := started.Add(d.settings.StopTimeout - stopMargin)
+	untilEnd := d.settings.StopTimeout - stopMargin
+	d.runtime.Post(gateway.StopRequested{EndsIn: untilEnd})
+	deadline := started.Add(untilEnd)
 	serveTime := min(addressReuseFactor*d.settings.AddressTTL+lingerTime, d.settings.StopTimeout/2)
 	if !sleepUnlessDone(serveTime, done) {
 		return
@@ -70,7 +71,8 @@
 	if !d.awaitIdle(deadline, 3*stopPollInterval, done) {
 		return
 	}
-	// Requests that are still open get their final answer now.
+	// Requests that are still open get their final answer now, and those that arrive from
+	// now on are refused.
 	d.runtime.Post(gateway.StopEnding{})
 	d.awaitIdle(deadline.Add(finalAnswersTimeout), stopPollInterval, done)
 }
