gateway: a view that was fetched is not fetched again for the same revisions

A daemon that has listed a kind anew takes the revision of the list for that of the latest change, so that it can tell greater revisions than a daemon that knows as much. One that does not watch the store fetched its view every 150 ms then, until the next change.

TestFetchedViewIsNotFetchedAgain fails without the condition and passes.

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -270,6 +270,8 @@
 type FetchView struct {
 	// Daemon is the name of the daemon, From its ip:port.
 	Daemon, From string
+	// View has the revisions that the daemon has told of.
+	View ViewRevisions
 }
 
 // WatchStore makes this daemon start or stop watching the store.
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -117,6 +117,8 @@
 	// fetchingSince is when the fetch of its view began that has not ended; 0 if none is
 	// running. fetchFailedAt is when a fetch last failed; 0 if none did.
 	fetchingSince, fetchFailedAt model.Time
+	// fetched has the revisions that the daemon had told of when its view was fetched.
+	fetched ViewRevisions
 	// active means that callers have been sent to it since activeSince.
 	active      bool
 	activeSince model.Time
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -48,7 +48,7 @@
 	m := &s.members
 	newer := best.ConfigVersion > s.Version()
 	awaitWatch := newer && s.config != nil && m.watcher && !s.storeDown && s.now.Sub(m.newerConfigSince) < configFetchDelay
-	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storeOutageDelay && best.View.exceeds(m.view)
+	stale := s.storeDown && s.now.Sub(s.storeDownSince) >= storeOutageDelay && s.hasNewerView(best)
 	if (newer && !awaitWatch) || stale || !m.watcher || (!s.serversKnown && best.View.Servers > 0) {
 		pause := watcherFetchInterval
 		if !m.watcher {
@@ -58,7 +58,7 @@
 		if best.fetchingSince == 0 {
 			best.fetchingSince = s.now
 		}
-		s.emit(FetchView{Daemon: best.Name, From: best.PeerAddress})
+		s.emit(FetchView{Daemon: best.Name, From: best.PeerAddress, View: best.View})
 	}
 }
 
@@ -69,11 +69,20 @@
 		return
 	}
 	d.fetchingSince, d.fetchFailedAt = 0, 0
-	if !e.OK {
+	if e.OK {
+		d.fetched = d.fetched.merge(e.Fetch.View)
+	} else {
 		d.fetchFailedAt = s.now
 	}
 }
 
+// hasNewerView reports whether a daemon may know of a change that this one does not. A
+// view that was fetched holds nothing new even if its revisions are greater: a daemon that
+// has listed a kind anew takes the revision of the list for that of the latest change.
+func (s *State) hasNewerView(d *daemon) bool {
+	return d.View.exceeds(s.members.view.merge(d.fetched))
+}
+
 // fetchFails reports whether the last fetch of a daemon's view has failed or takes long.
 // A daemon can be heard and yet not be reached, while packets pass one way only.
 func (s *State) fetchFails(d *daemon) bool {
@@ -151,7 +160,7 @@
 	failedDomains := s.failedFetchDomains()
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
-		if !s.alive(d) || (d.ConfigVersion <= s.Version() && !d.View.exceeds(s.members.view)) {
+		if !s.alive(d) || (d.ConfigVersion <= s.Version() && !s.hasNewerView(d)) {
 			continue
 		}
 		if best == nil || s.betterView(d, best, failedDomains) {
--- a/pkg/core/gateway/views_test.go
+++ b/pkg/core/gateway/views_test.go
@@ -94,3 +94,32 @@
 		}
 	}
 }
+
+// Guards against a daemon that fetches a view again and again because the other daemon's
+// revisions are greater although its view holds nothing new, and against a later change
+// that is not fetched then.
+func TestFetchedViewIsNotFetchedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.listLeafs(1, "x")
+	h.configure(1, nil, plainRoute("/r/", "x"))
+	e := peerEntry("d2", 1, DaemonReady)
+	e.ConfigVersion, e.View.Servers = 1, 9
+	h.step(GossipReceived{Daemons: []DaemonEntry{e}})
+	for _, effect := range h.otherEffects {
+		if f, ok := effect.(FetchView); ok {
+			h.step(ViewFetched{Fetch: f, OK: true})
+		}
+	}
+	h.otherEffects = nil
+	h.advance(2 * minFetchInterval)
+	e.Counter++
+	h.step(GossipReceived{Daemons: []DaemonEntry{e}})
+	if containsEffect[FetchView](h) {
+		t.Error("the view is fetched again without a change")
+	}
+	e.Counter, e.View.Evacuations = e.Counter+1, 8
+	h.step(GossipReceived{Daemons: []DaemonEntry{e}})
+	if !containsEffect[FetchView](h) {
+		t.Error("a later change is not fetched")
+	}
+}
