edge: lists at a start are confirmed by the view of a daemon that watches

A view now says which kinds are confirmed. A daemon that does not watch the store fetches the view of one that does 1.8 s after its start, and calls the store itself only if that has not confirmed both lists within 2.4 to 3.2 s.

--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -121,6 +121,7 @@
 	s.updateActive()
 	s.updateWatcher()
 	s.fetchView()
+	s.confirmView()
 	s.refreshView()
 	if to := s.gossipTargets(); len(to) > 0 {
 		s.emit(Gossip{To: to, Daemons: s.gossipEntries()})
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -54,6 +54,10 @@
 	// failedFetchDelay is how long after a failed fetch of a daemon's view views of other
 	// daemons are fetched first.
 	failedFetchDelay = 2 * time.Second
+	// viewConfirmDelay is how long after its start a daemon that does not watch the store
+	// fetches the view of one that does: that one has watched it since, even if all
+	// daemons started together.
+	viewConfirmDelay = 1800 * time.Millisecond
 	// storeOutageDelay is how long the store must be unreachable before another
 	// daemon's view is used.
 	storeOutageDelay = 700 * time.Millisecond
@@ -156,6 +160,8 @@
 	quotaShare float64
 	// watcher means that this daemon watches the store.
 	watcher bool
+	// viewConfirmed means that a view was fetched after viewConfirmDelay.
+	viewConfirmed bool
 	// listed means that the store's last list contained this daemon's entry.
 	listed bool
 }
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -55,10 +55,36 @@
 			pause = minFetchInterval
 		}
 		m.nextFetchAt = s.now.Add(pause)
-		if best.fetchingSince == 0 {
-			best.fetchingSince = s.now
+		s.fetchFrom(best)
+	}
+}
+
+// fetchFrom fetches a daemon's view.
+func (s *State) fetchFrom(d *daemon) {
+	if d.fetchingSince == 0 {
+		d.fetchingSince = s.now
+	}
+	s.emit(FetchView{Daemon: d.Name, From: d.PeerAddress, View: d.View})
+}
+
+// confirmView fetches the view of a daemon that watches the store once after the start,
+// also if it tells of nothing new: the lists that this daemon has read at its start may
+// lack deletions.
+func (s *State) confirmView() {
+	m := &s.members
+	if m.viewConfirmed || m.watcher || s.now < model.Time(viewConfirmDelay) || s.now < m.nextFetchAt {
+		return
+	}
+	var watching []*daemon
+	order := s.storeOrder()
+	for _, e := range order[:min(len(order), maxWatchers)] {
+		if d, ok := s.daemons[e.Name]; ok && !s.fetchFails(d) {
+			watching = append(watching, d)
 		}
-		s.emit(FetchView{Daemon: best.Name, From: best.PeerAddress, View: best.View})
+	}
+	if len(watching) > 0 {
+		m.nextFetchAt = s.now.Add(minFetchInterval)
+		s.fetchFrom(watching[s.rand.IntN(len(watching))])
 	}
 }
 
@@ -71,6 +97,7 @@
 	d.fetchingSince, d.fetchFailedAt = 0, 0
 	if e.OK {
 		d.fetched = d.fetched.merge(e.Fetch.View)
+		s.members.viewConfirmed = s.now >= model.Time(viewConfirmDelay)
 	} else {
 		d.fetchFailedAt = s.now
 	}
@@ -170,13 +197,11 @@
 	return best
 }
 
-// StoreRank returns this daemon's place, from 0, among the living daemons that reach
-// the store, and the number of these. Failure domains take turns, so that the first
-// daemons, which watch the store, are in as many domains as there are; within a domain
-// daemons are ordered by a hash of the name.
-func (s *State) StoreRank() (place, count int) {
-	self := s.opt.Self
-	order := []DaemonEntry{self}
+// storeOrder returns the living daemons that reach the store, this one included. Failure
+// domains take turns, so that the first daemons, which watch the store, are in as many
+// domains as there are; within a domain daemons are ordered by a hash of the name.
+func (s *State) storeOrder() []DaemonEntry {
+	order := []DaemonEntry{s.opt.Self}
 	for _, d := range s.daemons {
 		if s.alive(d) && !d.StoreDown {
 			order = append(order, d.DaemonEntry)
@@ -188,12 +213,15 @@
 		turnOf[e.Name] = turns[e.FailureDomain]
 		turns[e.FailureDomain]++
 	}
-	for _, e := range order {
-		if turn := turnOf[e.Name]; turn < turnOf[self.Name] || turn == turnOf[self.Name] && compareByHash(e, self) < 0 {
-			place++
-		}
-	}
-	return place, len(order)
+	slices.SortStableFunc(order, func(a, b DaemonEntry) int { return cmp.Compare(turnOf[a.Name], turnOf[b.Name]) })
+	return order
+}
+
+// StoreRank returns this daemon's place, from 0, among the living daemons that reach the
+// store in storeOrder, and the number of these.
+func (s *State) StoreRank() (place, count int) {
+	order := s.storeOrder()
+	return slices.IndexFunc(order, func(e DaemonEntry) bool { return e.Name == s.opt.Self.Name }), len(order)
 }
 
 // updateWatcher decides whether this daemon watches the store.
--- a/pkg/core/gateway/views_test.go
+++ b/pkg/core/gateway/views_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
 // Guards against a daemon that knows the latest change of one kind and therefore does
@@ -123,3 +125,38 @@
 		t.Error("a later change is not fetched")
 	}
 }
+
+// Guards against a daemon that does not watch the store and keeps what its old lists at
+// the start lacked: it must fetch one view of a daemon that watches, and only one.
+func TestViewOfWatcherIsFetchedAfterStart(t *testing.T) {
+	h := newHarnessWith(t, Options{Self: DaemonEntry{Name: "self", Incarnation: 1, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:70", FailureDomain: "b"}})
+	h.listLeafs(1, "x")
+	h.configure(1, nil, plainRoute("/r/", "x"))
+	fetches := 0
+	for i := range 12 {
+		var entries []DaemonEntry
+		for j, name := range numberedNames("f", 8) {
+			e := peerEntry(name, uint64(i+1), DaemonReady)
+			e.ConfigVersion, e.FailureDomain = 1, []string{"a", "b", "c"}[j%3]
+			entries = append(entries, e)
+		}
+		h.step(GossipReceived{Daemons: entries})
+		h.advance(gossipInterval)
+		for _, effect := range h.otherEffects {
+			if f, ok := effect.(FetchView); ok {
+				fetches++
+				if h.now < model.Time(viewConfirmDelay) {
+					t.Errorf("fetched after %v", time.Duration(h.now))
+				}
+				h.step(ViewFetched{Fetch: f, OK: true})
+			}
+		}
+		h.otherEffects = nil
+	}
+	if place, _ := h.s.StoreRank(); place < maxWatchers {
+		t.Fatalf("the daemon is to watch the store: place %d", place)
+	}
+	if fetches != 1 {
+		t.Errorf("%d views were fetched, want 1", fetches)
+	}
+}
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -21,6 +21,9 @@
 	defer f.mu.Unlock()
 	out := View{Kinds: map[Kind]KindState{}, AfterOutage: afterOutage}
 	for kind, known := range f.view {
+		if !f.unconfirmed[kind] {
+			out.Confirmed = append(out.Confirmed, kind)
+		}
 		revision, asked := since[kind]
 		if asked && known.Revision <= revision {
 			continue
@@ -48,6 +51,9 @@
 		}
 		f.replaceState(kind, remote.clone(), sourceDaemon, v.AfterOutage)
 	}
+	for _, kind := range v.Confirmed {
+		f.confirm(kind)
+	}
 }
 
 // applyRemoteChanges applies the changes of a kind that another daemon sent.
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -37,6 +37,11 @@
 	// 0.5 to 1.5 times the backoff.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
+	// confirmDelay is how long a daemon that does not watch the store waits for another
+	// daemon's view to confirm what it listed at its start before it calls the store itself.
+	// A random part of up to confirmSpread is added.
+	confirmDelay  = 2400 * time.Millisecond
+	confirmSpread = 800 * time.Millisecond
 	// confirmPause is the mean pause after a failed call of a daemon that calls the store
 	// only to confirm what it listed at its start.
 	confirmPause = 2 * time.Second
@@ -76,8 +81,9 @@
 	cancelWatch map[Kind]context.CancelFunc
 	refreshDue  map[Kind]bool
 	// unconfirmed are the kinds whose state comes from a list that may be old, until a
-	// call to the store has confirmed it or brought what is newer.
-	// It is not called for that before confirmAfter.
+	// call to the store, of this daemon or of one whose view was fetched since, has
+	// confirmed it or brought what is newer. Daemons that do not watch the store do not
+	// call it for that before confirmAfter.
 	unconfirmed  map[Kind]bool
 	confirmAfter time.Time
 	// daemonsListed is closed once the daemons were listed.
@@ -139,9 +145,10 @@
 }
 
 // listAtStart lists a kind when the daemon starts. The list may be seconds old, which
-// is cheap for the store while many daemons of a fleet start. Of leafs and evacuations a
-// short watch then brings what is newer: other daemons' revisions do not show that this
-// list lacks a deletion, since a list does not say what was deleted before it.
+// is cheap for the store while many daemons of a fleet start. The lists of leafs and
+// evacuations are confirmed afterwards, by a short watch or by the view of a daemon that
+// has done that: revisions of other daemons do not show that a list lacks a deletion,
+// since a list does not say what was deleted before it.
 func (f *Follower) listAtStart(ctx context.Context, kind Kind) error {
 	if kind == KindServers || kind == KindEvacuations {
 		f.requestConfirmation(kind)
@@ -263,18 +270,19 @@
 	return nil
 }
 
-// requestConfirmation makes awaitSyncNeeded ask for a watch of the kind even if this daemon
-// is not to watch the store. The loop of the configuration is woken because it tries again
+// requestConfirmation makes awaitSyncNeeded ask for a watch of the kind, later also if this
+// daemon is not to watch the store. The loop of the configuration is woken because it tries again
 // after failures on behalf of such kinds.
 func (f *Follower) requestConfirmation(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unconfirmed[kind] = true
+	f.confirmAfter = time.Now().Add(confirmDelay + rand.N(confirmSpread))
 	f.wakeLoops()
 }
 
-// confirm records that the state of a kind is as new as a call to the store that has
-// just ended.
+// confirm records that the state of a kind is as new as a call to the store that ended
+// after this daemon's start.
 func (f *Follower) confirm(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -287,7 +295,7 @@
 		delete(f.refreshDue, kind)
 		return refreshWait
 	}
-	if f.unconfirmed[kind] && !f.watching {
+	if f.unconfirmed[kind] {
 		return refreshWait
 	}
 	if kind == KindDaemons {
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -25,6 +25,9 @@
 	// AfterOutage means that a call to the store failed a moment ago, so that deleted
 	// objects may come back.
 	AfterOutage bool `json:"afterOutage"`
+	// Confirmed are the kinds that a call to the store has confirmed since the daemon
+	// started.
+	Confirmed []Kind `json:"confirmed,omitempty"`
 }
 
 // ErrView means that another daemon sent a view that no daemon can have.
