soak: evacuations, drains at each daemon in touch, and requests to the end of a stop

It evacuates a failure domain at times now (EVAC), and judges each request by the daemon that sent it on: that one was not disturbed for 4 s, whatever happens to others. LOST no longer excuses requests that are sent in the last second of a stop, since they are refused there.

--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -270,9 +270,9 @@
 	return nil
 }
 
-// requestConfirmation makes awaitSyncNeeded ask for a watch of the kind, later also if this
-// daemon is not to watch the store. The loop of the configuration is woken because it tries again
-// after failures on behalf of such kinds.
+// requestConfirmation makes awaitSyncNeeded ask for a watch of the kind, later also if
+// this daemon is not to watch the store. The loop of the configuration is woken because
+// it tries again after failures on behalf of such kinds.
 func (f *Follower) requestConfirmation(kind Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -29,8 +29,10 @@
 	work = 25 * time.Millisecond
 	// contact is the calm after which the promises with a time bound hold again.
 	contact = 4 * time.Second
-	// applyBound is how long a configuration or a drain may take to be in force.
-	applyBound = 3 * time.Second
+	// applyBound is how long a configuration or a drain may take to be in force,
+	// evacuateBound an evacuation.
+	applyBound    = 3 * time.Second
+	evacuateBound = 5 * time.Second
 	// settle is the calm at the end of a soak, in which service must be back.
 	settle = 6 * time.Second
 	// stopTime is the daemons' longest graceful shutdown.
@@ -61,10 +63,24 @@
 	linkOut   map[string][]disturbance
 	shardOf   map[string]string
 	drainedAt map[string]time.Time
-	storeOut  []disturbance
-	versions  []version
+	// domainOf has the failure domains of the leafs.
+	domainOf map[string]string
+	// evacuations are the times in which domains were evacuated.
+	evacuations []evacuation
+	storeOut    []disturbance
+	versions    []version
 }
 
+// evacuation is a time in which a failure domain was evacuated, from its
+// acknowledgement until it was taken back.
+type evacuation struct {
+	domain     string
+	begin, end time.Time
+}
+
+// leafDomains are the failure domains of leafs. The daemons are in the first one.
+var leafDomains = []string{"a", "b"}
+
 // version is a configuration that was acknowledged.
 type version struct {
 	number int
@@ -93,7 +109,7 @@
 
 func newSite(t *testing.T, daemons int) *site {
 	t.Helper()
-	s := &site{t: t, dir: t.TempDir(), store: standin.NewStore(), shardOf: map[string]string{}, drainedAt: map[string]time.Time{},
+	s := &site{t: t, dir: t.TempDir(), store: standin.NewStore(), shardOf: map[string]string{}, drainedAt: map[string]time.Time{}, domainOf: map[string]string{},
 		links: map[string]*proxy.Link{}, linkOut: map[string][]disturbance{}}
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close() })
@@ -119,6 +135,7 @@
 func (s *site) addLeaf(shard string) *standin.Leaf {
 	s.mu.Lock()
 	id := fmt.Sprintf("i-%d", len(s.leafs))
+	domain := leafDomains[len(s.leafs)%len(leafDomains)]
 	s.mu.Unlock()
 	l := standin.StartLeaf(id, normal(shard))
 	s.t.Cleanup(l.Close)
@@ -126,7 +143,7 @@
 	s.mu.Lock()
 	s.leafs = append(s.leafs, l)
 	s.links[id] = link
-	s.shardOf[id] = shard
+	s.shardOf[id], s.domainOf[id] = shard, domain
 	s.mu.Unlock()
 	s.register(l, shard, false)
 	return l
@@ -151,9 +168,9 @@
 
 func (s *site) register(l *standin.Leaf, service string, draining bool) {
 	s.mu.Lock()
-	address := s.links[l.ID].Address()
+	address, domain := s.links[l.ID].Address(), s.domainOf[l.ID]
 	s.mu.Unlock()
-	s.store.PutServer(gateway.Server{ID: l.ID, Service: service, Address: address, FailureDomain: "a", Slots: 4, Draining: draining})
+	s.store.PutServer(gateway.Server{ID: l.ID, Service: service, Address: address, FailureDomain: domain, Slots: 4, Draining: draining})
 }
 
 // configure writes the next version, with the given set of shards, and notes
@@ -192,7 +209,7 @@
 	d := &daemon{name: fmt.Sprintf("edge-%d", i), caller: free[0], directory: free[1], ready: free[2]}
 	d.store = startLink(s.t, s.server.Listener.Addr().String())
 	d.front = startLink(s.t, d.caller)
-	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"%s:1\", \"%s:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
+	text := fmt.Sprintf("vm: %s\nfailure_domain: a\nregions: [{failure_domain: a, region: north}, {failure_domain: b, region: north}]\nlisten: {caller: %q, ready: %q, directory: %q}\npeer_port: %d\nseeds: [\"%s:1\", \"%s:1\"]\nstore: %q\nretry: {ratio: 0.2, slack: 50}\nstop: %v\ncontact_loss: 2s\naddress_ttl: 300ms\n",
 		d.name, d.caller, d.ready, d.directory, peer, address(0), address(1), d.store.Address(), stopTime)
 	d.settings = filepath.Join(s.dir, d.name+".yaml")
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/edge"
 	"github.com/pistachiousher/pistachiousher/platform/standin"
 	"github.com/pistachiousher/pistachiousher/standin/proxy"
 )
@@ -31,8 +32,6 @@
 const (
 	daemons = 4
 	clients = 8
-	// grace covers the time between what the soak notes and what a process sees.
-	grace = 300 * time.Millisecond
 	// mostMemory is the resident memory in bytes that a daemon may use.
 	mostMemory = 60 << 20
 	// backShare is the share of requests that must be served when all is calm.
@@ -144,6 +143,8 @@
 			layout = 1 - layout
 		}
 		s.configure(layout)
+	case "evacuate":
+		s.evacuate(leafDomains[x.target%len(leafDomains)], evacuateBound+contact+x.length)
 	default:
 		if strings.HasPrefix(x.kind, "link-") {
 			s.playLink(x)
@@ -255,6 +256,24 @@
 	s.drainedAt[l.ID] = time.Now()
 }
 
+// evacuate evacuates a domain for a time, unless one is evacuated already.
+func (s *site) evacuate(domain string, length time.Duration) {
+	s.mu.Lock()
+	if n := len(s.evacuations); n > 0 && s.evacuations[n-1].end.IsZero() {
+		s.mu.Unlock()
+		return
+	}
+	s.store.Put(string(edge.KindEvacuations), domain, struct{}{})
+	i := len(s.evacuations)
+	s.evacuations = append(s.evacuations, evacuation{domain: domain, begin: time.Now()})
+	s.mu.Unlock()
+	time.Sleep(length)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations[i].end = time.Now()
+	s.store.Delete(string(edge.KindEvacuations), domain)
+}
+
 func (s *site) storeDisturbed() func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -309,15 +328,27 @@
 // judge checks the promises.
 func (s *site) judge(t *testing.T, all []outcome, calmFrom time.Time) {
 	t.Helper()
-	ran := map[string]int{}
+	ran, requests := map[string]int{}, map[string]outcome{}
+	for _, o := range all {
+		requests[o.id] = o
+	}
 	for _, l := range s.leafs {
 		for _, r := range l.Ran() {
 			ran[r.RequestID]++
 		}
 		at, drained := s.drainedAt[l.ID]
 		for _, r := range l.Arrivals() {
-			if drained && r.At.After(at.Add(applyBound)) && s.storeCalm(at, r.At) && s.allCalm(at, r.At) && calm(s.linkOut[l.ID], at, r.At, true) {
-				t.Errorf("DRAIN: %s got request %s %v after it was drained", l.ID, r.RequestID, r.At.Sub(at))
+			o, known := requests[r.RequestID]
+			if !known {
+				continue
+			}
+			if drained && r.At.After(at.Add(applyBound)) && s.inTouch(o, l, at, r.At) {
+				t.Errorf("DRAIN: %s got request %s from %s %v after it was drained", l.ID, r.RequestID, o.daemon.name, r.At.Sub(at))
+			}
+			for _, e := range s.evacuations {
+				if e.domain == s.domainOf[l.ID] && r.At.After(e.begin.Add(evacuateBound)) && (e.end.IsZero() || r.At.Before(e.end)) && s.inTouch(o, l, e.begin, r.At) {
+					t.Errorf("EVAC: %s got request %s from %s %v after its domain was evacuated", l.ID, r.RequestID, o.daemon.name, r.At.Sub(e.begin))
+				}
 			}
 		}
 	}
@@ -334,7 +365,7 @@
 			if wrong := s.checkMerged(o); wrong != "" {
 				t.Errorf("MIXED: %s: %s", o.id, wrong)
 			}
-		case o.Status == 0 && !o.refused && ran[o.id] > 0 && o.daemon.calm(o.begin, o.end, false) && !o.lateAtStop():
+		case o.Status == 0 && !o.refused && ran[o.id] > 0 && o.daemon.calm(o.begin, o.end, false):
 			t.Errorf("LOST: %s ran and its connection to %s ended without an answer", o.id, o.daemon.name)
 		}
 		if o.begin.After(calmFrom) {
@@ -350,27 +381,12 @@
 	}
 }
 
-// allCalm reports whether no daemon was disturbed.
-func (s *site) allCalm(begin, end time.Time) bool {
-	for _, d := range s.daemons {
-		if !d.calm(begin, end, true) {
-			return false
-		}
-	}
-	return true
-}
-
-// lateAtStop reports whether the request was sent to a daemon so late in its
-// stop that it may be cut off.
-func (o *outcome) lateAtStop() bool {
-	o.daemon.mu.Lock()
-	defer o.daemon.mu.Unlock()
-	for _, x := range o.daemon.disturbed {
-		if x.planned && o.begin.After(x.begin.Add(stopTime-time.Second)) && (x.end.IsZero() || o.begin.Before(x.end.Add(grace))) {
-			return true
-		}
-	}
-	return false
+// inTouch reports whether a change was acknowledged by a calm store, and the daemon that
+// sent a request on, its link to the leaf and the store had been calm for the contact time
+// when the request arrived.
+func (s *site) inTouch(o outcome, l *standin.Leaf, acknowledged, arrived time.Time) bool {
+	return s.storeCalm(acknowledged, acknowledged) && s.storeCalm(o.begin, arrived) && o.daemon.calm(o.begin, arrived, true) &&
+		calm(s.linkOut[l.ID], o.begin, arrived, true)
 }
 
 // keepLogs keeps the daemons' logs of a failed seed.
