--- a/pkg/edge/gossipbytes_test.go
+++ b/pkg/edge/gossipbytes_test.go
@@ -29,6 +29,7 @@
 	for i := range daemons - 1 {
 		entries = append(entries, gateway.DaemonEntry{
 			Name: fmt.Sprintf("edge-osijek-a-%d", i+2), Incarnation: 1_790_000_000_000, Counter: 100, PeerAddress: "10.1.0.2:7380", FailureDomain: "a", State: gateway.DaemonReady, Cores: 0.4,
+			ConfigVersion: 30, View: gateway.ViewRevisions{Servers: 1_000_000, Evacuations: 900_000},
 		})
 	}
 	s.Step(1, gateway.DaemonsListed{Daemons: entries})
