--- a/measure/fleet/daemon.go
+++ b/measure/fleet/daemon.go
@@ -172,7 +172,7 @@
 
 func (w *world) gossip(to string, e gateway.Gossip) {
 	if d := w.byPeer[to]; d != nil && d.running {
-		d.step(gateway.GossipReceived{Daemons: e.Daemons})
+		d.step(gateway.GossipReceived{Daemons: e.Daemons, Sections: e.Sections})
 	}
 }
 
--- a/pkg/core/gateway/config.go
+++ b/pkg/core/gateway/config.go
@@ -47,6 +47,8 @@
 	MinShardRatio float64
 	// HomeRegions are the regions whose leafs may run requests; empty means all.
 	HomeRegions []string
+	// Public routes need no key of a tenant.
+	Public bool
 }
 
 // Target is one service of a traffic split.
@@ -125,6 +127,10 @@
 	// Slots is the number of requests that the leaf runs concurrently; at least 1.
 	Slots    int
 	Draining bool
+	// Version is the version of the leaf's software.
+	Version string
+	// Sequence increases with each write of the entry since the leaf started.
+	Sequence uint64
 	// WarmUpLeft is how long the leaf stays cold, counted from when the entry was
 	// written.
 	WarmUpLeft time.Duration
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -78,7 +78,12 @@
 }
 
 // Load is a leaf's report of its load.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the leaf's VM now relative to its usual time: 1 is
+	// as usual, 2 twice as long; 0 if the leaf does not report it.
+	Slowdown float64
+}
 
 // ConfigSeen is a version of the configuration that was read from a source.
 type ConfigSeen struct {
@@ -120,8 +125,12 @@
 // DaemonsListed is the full list of daemons in the store.
 type DaemonsListed struct{ Daemons []DaemonEntry }
 
-// GossipReceived is a gossip message of another daemon.
-type GossipReceived struct{ Daemons []DaemonEntry }
+// GossipReceived is a gossip message of another daemon, whose entry is the first.
+type GossipReceived struct {
+	Daemons []DaemonEntry
+	// Sections are those of the sender.
+	Sections Sections
+}
 
 // StoreReached says whether the latest call to the store succeeded.
 type StoreReached struct {
@@ -259,10 +268,11 @@
 	RetryAfter time.Duration
 }
 
-// Gossip sends entries of daemons to other daemons.
+// Gossip sends entries of daemons and this daemon's sections to other daemons.
 type Gossip struct {
-	To      []string
-	Daemons []DaemonEntry
+	To       []string
+	Daemons  []DaemonEntry
+	Sections Sections
 }
 
 // FetchView reads the configuration and the leafs from another daemon. ViewFetched
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -13,6 +13,7 @@
 	for _, entry := range e.Daemons {
 		s.mergeEntry(entry, true)
 	}
+	s.sectionsReceived(e)
 	if s.members.watcher {
 		s.refreshView()
 	} else {
@@ -123,8 +124,9 @@
 	s.fetchView()
 	s.confirmView()
 	s.refreshView()
-	if to := s.gossipTargets(); len(to) > 0 {
-		s.emit(Gossip{To: to, Daemons: s.gossipEntries()})
+	sections := s.ownSections()
+	if to := s.withActiveDaemons(s.gossipTargets(), sections); len(to) > 0 {
+		s.emit(Gossip{To: to, Daemons: s.gossipEntries(), Sections: sections})
 	}
 }
 
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -126,6 +126,8 @@
 	// active means that callers have been sent to it since activeSince.
 	active      bool
 	activeSince model.Time
+	// sections are what it last told about its own requests.
+	sections receivedSections
 }
 
 // memberState is the state of this daemon's gossip, of its role among the daemons, and
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -38,7 +38,7 @@
 
 // PeerLink sends messages to other daemons. Its methods must not block.
 type PeerLink interface {
-	Gossip(to []string, entries []gateway.DaemonEntry)
+	Gossip(to []string, entries []gateway.DaemonEntry, sections gateway.Sections)
 	// FetchView fetches and adopts a daemon's view and then posts gateway.ViewFetched.
 	FetchView(e gateway.FetchView)
 }
@@ -137,7 +137,7 @@
 	case gateway.Refuse:
 		r.sendReply(e.Query, func(*pendingRequest) reply { return reply{refuse: &e} })
 	case gateway.Gossip:
-		r.peers.Gossip(e.To, e.Daemons)
+		r.peers.Gossip(e.To, e.Daemons, e.Sections)
 	case gateway.FetchView:
 		r.peers.FetchView(e)
 	case gateway.WatchStore:
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -31,14 +31,14 @@
 	greatest := self
 	greatest.Incarnation = math.MaxUint64
 	for _, entries := range [][]gateway.DaemonEntry{{other}, {other, self}, {other, greatest}, {other, other.WithoutStoredFields()}} {
-		data, err := encodeGossip(entries)
+		data, err := encodeGossip(entries, gateway.Sections{Quota: []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1}}})
 		if err != nil {
 			f.Fatal(err)
 		}
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		entries, err := decodeGossip(data)
+		message, err := decodeGossip(data)
 		if err != nil {
 			return
 		}
@@ -46,7 +46,7 @@
 		last := uint64(0)
 		for i := range 4 {
 			now := model.Time(time.Duration(i+1) * time.Second)
-			effects := s.Step(now, gateway.GossipReceived{Daemons: entries})
+			effects := s.Step(now, message)
 			effects = append(append([]gateway.Effect(nil), effects...), s.Step(now, gateway.Tick{})...)
 			for _, e := range effects {
 				g, ok := e.(gateway.Gossip)
@@ -70,12 +70,12 @@
 			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
 		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
 	}
-	data, err := encodeGossip(want)
+	data, err := encodeGossip(want, gateway.Sections{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, err := decodeGossip(data)
-	if err != nil || !slices.Equal(got, want) {
+	if err != nil || !slices.Equal(got.Daemons, want) {
 		t.Errorf("got %+v, %v", got, err)
 	}
 }
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -12,9 +12,9 @@
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
-// encodeGossip encodes entries of daemons as one datagram.
-func encodeGossip(entries []gateway.DaemonEntry) ([]byte, error) {
-	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries))}
+// encodeGossip encodes entries of daemons and the sender's sections as one datagram.
+func encodeGossip(entries []gateway.DaemonEntry, sections gateway.Sections) ([]byte, error) {
+	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries)), Sections: encodeSections(sections)}
 	for i, e := range entries {
 		message.Daemons[i] = &gossippb.Daemon{
 			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
@@ -32,10 +32,10 @@
 }
 
 // decodeGossip decodes a datagram and validates its entries.
-func decodeGossip(data []byte) ([]gateway.DaemonEntry, error) {
+func decodeGossip(data []byte) (gateway.GossipReceived, error) {
 	var message gossippb.Gossip
 	if err := proto.Unmarshal(data, &message); err != nil {
-		return nil, fmt.Errorf("edge: decode gossip: %w", err)
+		return gateway.GossipReceived{}, fmt.Errorf("edge: decode gossip: %w", err)
 	}
 	entries := make([]gateway.DaemonEntry, len(message.GetDaemons()))
 	for i, d := range message.GetDaemons() {
@@ -46,10 +46,10 @@
 			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
 		}
 		if err := validateEntry(entries[i]); err != nil {
-			return nil, err
+			return gateway.GossipReceived{}, err
 		}
 	}
-	return entries, nil
+	return gateway.GossipReceived{Daemons: entries, Sections: decodeSections(message.GetSections())}, nil
 }
 
 // ErrGossip means that a message contains an entry that no daemon can have.
--- a/pkg/edge/gossipbytes_test.go
+++ b/pkg/edge/gossipbytes_test.go
@@ -41,7 +41,7 @@
 			if !ok {
 				continue
 			}
-			data, err := encodeGossip(g.Daemons)
+			data, err := encodeGossip(g.Daemons, g.Sections)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/edge/gossipcheck_test.go
+++ b/pkg/edge/gossipcheck_test.go
@@ -31,7 +31,7 @@
 	} {
 		bad := good
 		change(&bad)
-		data, err := encodeGossip([]gateway.DaemonEntry{good, bad})
+		data, err := encodeGossip([]gateway.DaemonEntry{good, bad}, gateway.Sections{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -39,11 +39,11 @@
 			t.Errorf("%s: %+v, error %v", name, got, err)
 		}
 	}
-	data, err := encodeGossip([]gateway.DaemonEntry{good, good.WithoutStoredFields()})
+	data, err := encodeGossip([]gateway.DaemonEntry{good, good.WithoutStoredFields()}, gateway.Sections{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := decodeGossip(data); err != nil || len(got) != 2 || got[0] != good {
+	if got, err := decodeGossip(data); err != nil || len(got.Daemons) != 2 || got.Daemons[0] != good {
 		t.Errorf("%+v, error %v", got, err)
 	}
 }
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -155,8 +155,8 @@
 const peerDelay = time.Millisecond
 
 // Gossip implements PeerLink.
-func (r *modelRun) Gossip(to []string, entries []gateway.DaemonEntry) {
-	data, err := encodeGossip(entries)
+func (r *modelRun) Gossip(to []string, entries []gateway.DaemonEntry, sections gateway.Sections) {
+	data, err := encodeGossip(entries, sections)
 	if err != nil {
 		r.daemon.fleet.t.Error(err)
 		return
@@ -173,7 +173,7 @@
 				return
 			}
 			if run := target.run.Load(); run != nil {
-				run.runtime.Post(gateway.GossipReceived{Daemons: decoded})
+				run.runtime.Post(decoded)
 			}
 		})
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -60,10 +60,10 @@
 	}
 }
 
-// Gossip sends entries to daemons. Datagrams may be lost; the next message repeats
+// Gossip sends entries and this daemon's sections to daemons. Datagrams may be lost; the next message repeats
 // their content.
-func (p *Peers) Gossip(to []string, entries []gateway.DaemonEntry) {
-	data, err := encodeGossip(entries)
+func (p *Peers) Gossip(to []string, entries []gateway.DaemonEntry, sections gateway.Sections) {
+	data, err := encodeGossip(entries, sections)
 	if err != nil {
 		p.onError("", err)
 		return
@@ -96,9 +96,9 @@
 		}
 		p.traffic.GossipReceived.Add(uint64(n))
 		err = catchPanic(func() error {
-			entries, err := decodeGossip(buffer[:n])
+			message, err := decodeGossip(buffer[:n])
 			if err == nil {
-				p.post(gateway.GossipReceived{Daemons: entries})
+				p.post(message)
 			}
 			return err
 		})
--- /dev/null
+++ b/pkg/edge/sections.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
+)
+
+const (
+	// sectionVersion is the version of each section that this daemon sends and reads.
+	sectionVersion = 1
+	// maxSectionBytes bounds a section. With all three of them and 19 entries of daemons, a
+	// message stays below maxDatagramBytes.
+	maxSectionBytes = 3 << 10
+	// maxLatencyBuckets bounds the buckets of a histogram that is received.
+	maxLatencyBuckets = 64
+)
+
+// encodeSections encodes the sections of this daemon; nil if there is nothing to tell.
+func encodeSections(x gateway.Sections) *gossippb.Sections {
+	out := &gossippb.Sections{}
+	if len(x.Quota) > 0 {
+		out.Quota = &gossippb.QuotaSection{Version: sectionVersion, Tenants: encodeList(x.Quota, encodeDemand)}
+	}
+	if len(x.Rollouts) > 0 {
+		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Evidence: encodeList(x.Rollouts, encodeEvidence)}
+	}
+	if len(x.Capacity) > 0 {
+		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, encodeCapacity)}
+	}
+	if out.Quota == nil && out.Rollouts == nil && out.Capacity == nil {
+		return nil
+	}
+	return out
+}
+
+// encodeList encodes the first entries of a list that fit into a section.
+func encodeList[T any, M proto.Message](list []T, encode func(T) M) []M {
+	var out []M
+	size := 0
+	for _, x := range list {
+		m := encode(x)
+		// An entry has a tag of one byte and a length of up to three.
+		size += proto.Size(m) + 4
+		if size > maxSectionBytes {
+			break
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func encodeDemand(d gateway.TenantDemand) *gossippb.TenantDemand {
+	return &gossippb.TenantDemand{Tenant: d.Tenant, ArrivalsPerSecond: d.ArrivalsPerSecond, WorkPerSecond: d.WorkPerSecond}
+}
+
+func encodeEvidence(e gateway.VersionEvidence) *gossippb.VersionEvidence {
+	return &gossippb.VersionEvidence{
+		Service: e.Service, Order: e.Order, Route: e.Route, Target: e.Target, Attempts: e.Attempts, BadAnswers: e.BadAnswers,
+		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs,
+	}
+}
+
+func encodeCapacity(c gateway.LeafCapacity) *gossippb.LeafCapacity {
+	return &gossippb.LeafCapacity{Leaf: c.Leaf, Limit: c.Limit, BaseLatency: c.BaseLatency}
+}
+
+// decodeSections decodes the sections of another daemon. Sections of other versions and
+// entries that no daemon can have are left out.
+func decodeSections(m *gossippb.Sections) gateway.Sections {
+	var out gateway.Sections
+	if q := m.GetQuota(); q.GetVersion() == sectionVersion {
+		for _, d := range q.GetTenants() {
+			if isName(d.GetTenant()) && isAmount(d.GetArrivalsPerSecond()) && isAmount(d.GetWorkPerSecond()) {
+				out.Quota = append(out.Quota, gateway.TenantDemand{Tenant: d.GetTenant(), ArrivalsPerSecond: d.GetArrivalsPerSecond(), WorkPerSecond: d.GetWorkPerSecond()})
+			}
+		}
+	}
+	if r := m.GetRollouts(); r.GetVersion() == sectionVersion {
+		for _, e := range r.GetEvidence() {
+			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
+				out.Rollouts = append(out.Rollouts, decodeEvidence(e))
+			}
+		}
+	}
+	if c := m.GetCapacity(); c.GetVersion() == sectionVersion {
+		for _, l := range c.GetLeafs() {
+			if isName(l.GetLeaf()) && isAmount(l.GetLimit()) && isAmount(l.GetBaseLatency()) {
+				out.Capacity = append(out.Capacity, gateway.LeafCapacity{Leaf: l.GetLeaf(), Limit: l.GetLimit(), BaseLatency: l.GetBaseLatency()})
+			}
+		}
+	}
+	return out
+}
+
+func decodeEvidence(e *gossippb.VersionEvidence) gateway.VersionEvidence {
+	return gateway.VersionEvidence{
+		Service: e.GetService(), Order: e.GetOrder(), Route: e.GetRoute(), Target: e.GetTarget(), Attempts: e.GetAttempts(), BadAnswers: e.GetBadAnswers(),
+		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(),
+	}
+}
+
+func isName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
+// isAmount reports whether a value is a number of requests or a ratio that a daemon can have
+// measured.
+func isAmount(v float64) bool { return v >= 0 && v <= math.MaxUint32 }
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -23,7 +23,7 @@
 		Name: "edge-1", Incarnation: 9, Counter: 7, CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:70",
 		FailureDomain: "a", State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 6}, Cores: 0.4,
 	}
-	data, err := encodeGossip([]gateway.DaemonEntry{entry})
+	data, err := encodeGossip([]gateway.DaemonEntry{entry}, gateway.Sections{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,21 +36,22 @@
 	later = protowire.AppendBytes(later, daemon)
 	later = protowire.AppendTag(later, 99, protowire.BytesType)
 	later = protowire.AppendBytes(later, []byte("new"))
-	entries, err := decodeGossip(later)
+	message, err := decodeGossip(later)
+	entries := message.Daemons
 	if err != nil || len(entries) != 2 || entries[0] != entry || entries[1].Name != "edge-2" {
 		t.Errorf("gossip of a later version: %+v, %v", entries, err)
 	}
 	// An earlier version names no cores, calls or revision.
 	earlier := protowire.AppendTag(nil, 1, protowire.BytesType)
 	earlier = protowire.AppendBytes(earlier, protowire.AppendBytes(protowire.AppendTag(nil, 1, protowire.BytesType), []byte("edge-3")))
-	if entries, err := decodeGossip(earlier); err != nil || len(entries) != 1 || entries[0].Cores != 0 {
-		t.Errorf("gossip of an earlier version: %+v, %v", entries, err)
+	if message, err := decodeGossip(earlier); err != nil || len(message.Daemons) != 1 || message.Daemons[0].Cores != 0 {
+		t.Errorf("gossip of an earlier version: %+v, %v", message, err)
 	}
 	// An earlier version has one revision for leafs and evacuations, in field 9.
 	earlier = protowire.AppendTag(nil, 1, protowire.BytesType)
 	earlier = protowire.AppendBytes(earlier, append(protowire.AppendBytes(protowire.AppendTag(nil, 1, protowire.BytesType), []byte("edge-3")), protowire.AppendVarint(protowire.AppendTag(nil, 9, protowire.VarintType), 7)...))
-	if entries, err := decodeGossip(earlier); err != nil || len(entries) != 1 || entries[0].View != (gateway.ViewRevisions{Servers: 7, Evacuations: 7}) {
-		t.Errorf("gossip with one revision: %+v, %v", entries, err)
+	if message, err := decodeGossip(earlier); err != nil || len(message.Daemons) != 1 || message.Daemons[0].View != (gateway.ViewRevisions{Servers: 7, Evacuations: 7}) {
+		t.Errorf("gossip with one revision: %+v, %v", message, err)
 	}
 	var sent gossippb.Gossip
 	if err := proto.Unmarshal(data, &sent); err != nil || sent.GetDaemons()[0].GetViewRevision() != 6 {
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -45,6 +45,11 @@
 	// StoreAddress is the ip:port of the platform's store.
 	StoreAddress string
 	Retry        RetrySettings
+	// Quota bounds how far requests of a tenant may exceed its limit; the zero value if the
+	// platform states no bounds.
+	Quota QuotaSettings
+	// Rollout bounds the exposure of new versions; nil if roll-outs are not followed.
+	Rollout *RolloutSettings
 	// StopTimeout is how long the graceful shutdown may take.
 	StopTimeout time.Duration
 	// ContactLoss is the silence after which a daemon must no longer be named to
@@ -67,6 +72,25 @@
 	Ratio, Slack float64
 }
 
+// QuotaSettings bound the requests of a tenant, of all daemons together: in each Window
+// (rate * Window + burst) * (1 + Overshoot) + Slack.
+type QuotaSettings struct {
+	Window           time.Duration
+	Overshoot, Slack float64
+}
+
+// RolloutSettings bound the requests that a version gets before it is known to be good, of
+// all daemons together.
+type RolloutSettings struct {
+	// Share is the part of the service's requests, Slack a number of requests in addition.
+	Share, Slack float64
+	// StopWithin is the time after the 50th bad answer of a version after which it may get
+	// no more requests.
+	StopWithin time.Duration
+	// OrderWithin is the time within which a daemon learns of an order.
+	OrderWithin time.Duration
+}
+
 // Bounds and defaults of the settings.
 const (
 	maxPort          = 65535
@@ -87,6 +111,15 @@
 	defaultLogLevel    = log.InfoLevel
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 10
+	defaultQuotaWindow = 5 * time.Second
+	maxQuotaWindow     = 10 * time.Minute
+	maxQuotaOvershoot  = 10
+	maxQuotaSlack      = 1e6
+	defaultRolloutStop = 5 * time.Second
+	maxRolloutSlack    = 1e6
+	defaultOrderWithin = 5 * time.Second
+	minBound           = 100 * time.Millisecond
+	maxBound           = 10 * time.Minute
 	defaultStopTimeout = 6 * time.Second
 	defaultContactLoss = 4 * time.Second
 	minContactLoss     = 100 * time.Millisecond
@@ -119,7 +152,7 @@
 }
 
 func readSettings(root yamldoc.Node) *Settings {
-	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "memory_mb", "descriptors", "retry", "stop", "contact_loss", "address_ttl", "log")
+	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "memory_mb", "descriptors", "retry", "quota", "rollout", "stop", "contact_loss", "address_ttl", "log")
 	listen := m.Need("listen").Map("caller", "ready", "directory", "admin")
 	processor := m.Get("processor").Map("share", "cores")
 	retry := m.Get("retry").Map("ratio", "slack")
@@ -145,6 +178,7 @@
 		AddressTTL:  m.Get("address_ttl").Duration(defaultAddressTTL, minAddressTTL, maxAddressTTL),
 		LogLevel:    log.MustParseLevel(m.Get("log").OneOf(defaultLogLevel.String(), "debug", "info", "warn", "error")),
 	}
+	readLimits(m, s)
 	for _, n := range m.Get("regions").List() {
 		entry := n.Map("failure_domain", "region")
 		s.Regions[entry.Need("failure_domain").Name()] = entry.Need("region").Name()
@@ -157,6 +191,27 @@
 	return s
 }
 
+// readLimits reads the settings of limits that not all deployments have.
+func readLimits(m yamldoc.Map, s *Settings) {
+	if m.Has("quota") {
+		quota := m.Get("quota").Map("window", "overshoot", "slack")
+		s.Quota = QuotaSettings{
+			Window:    quota.Get("window").Duration(defaultQuotaWindow, minBound, maxQuotaWindow),
+			Overshoot: quota.Get("overshoot").Float(0, 0, maxQuotaOvershoot),
+			Slack:     quota.Get("slack").Float(0, 0, maxQuotaSlack),
+		}
+	}
+	if m.Has("rollout") {
+		rollout := m.Get("rollout").Map("share", "slack", "stop_within", "order_within")
+		s.Rollout = &RolloutSettings{
+			Share:       rollout.Get("share").Float(0, 0, 1),
+			Slack:       rollout.Get("slack").Float(0, 0, maxRolloutSlack),
+			StopWithin:  rollout.Get("stop_within").Duration(defaultRolloutStop, minBound, maxBound),
+			OrderWithin: rollout.Get("order_within").Duration(defaultOrderWithin, minBound, maxBound),
+		}
+	}
+}
+
 // bodyMemoryShare is the part of the daemon's memory that the bodies of answers and
 // requests may use together.
 const bodyMemoryShare = 0.125
--- a/pkg/edged/settings_test.go
+++ b/pkg/edged/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 const goodSettings = `vm: edge-1
@@ -35,3 +36,29 @@
 		}
 	})
 }
+
+// Guards against limits of the fleet that are read with another unit, or that take effect where
+// the platform states none.
+func TestLimitsOfTheFleet(t *testing.T) {
+	s, err := ParseSettings("f", []byte(goodSettings))
+	if err != nil || s.Quota != (QuotaSettings{}) || s.Rollout != nil {
+		t.Errorf("without limits: %+v, %+v, %v", s.Quota, s.Rollout, err)
+	}
+	s, err = ParseSettings("f", []byte(goodSettings+`quota: {window: 5s, overshoot: 0.1, slack: 20}
+rollout: {share: 0.1, slack: 50, stop_within: 4000ms, order_within: 6000ms}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := (QuotaSettings{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}); s.Quota != want {
+		t.Errorf("quota %+v, want %+v", s.Quota, want)
+	}
+	if want := (RolloutSettings{Share: 0.1, Slack: 50, StopWithin: 4 * time.Second, OrderWithin: 6 * time.Second}); s.Rollout == nil || *s.Rollout != want {
+		t.Errorf("rollout %+v, want %+v", s.Rollout, want)
+	}
+	for _, bad := range []string{"quota: {window: 0s}\n", "quota: {overshoot: -1}\n", "rollout: {share: 2}\n", "rollout: {window: 5s}\n"} {
+		if _, err := ParseSettings("f", []byte(goodSettings+bad)); err == nil {
+			t.Errorf("accepted %q", bad)
+		}
+	}
+}
