--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -91,7 +91,7 @@
 		queries:   map[QueryID]*query{},
 		calls:     map[CallID]*call{},
 		daemons:   map[string]*daemon{},
-		quota:     quota.New(o.Quota, 0),
+		quota:     quota.New(o.Self.Name, o.Quota, 0),
 	}
 }
 
--- a/pkg/core/gateway/quota/loans.go
+++ b/pkg/core/gateway/quota/loans.go
@@ -15,18 +15,27 @@
 	// that the first requests of a tenant whose callers change daemons are served.
 	keepShare = 0.2
 	// deviations is by how many standard deviations the requests that a daemon can admit
-	// exceed the mean of those that arrive.
-	deviations = 2.0
+	// exceed the greatest number of the latest windows.
+	deviations = 1.0
 	// lendRatio is what holders lend together, relative to what is asked for: some have
 	// nothing to lend.
-	lendRatio = 1.15
-	// wantHold is how long a daemon asks for a share after it needed it last. Requests of
-	// one tenant vary from second to second.
-	wantHold = 10 * time.Second
+	lendRatio = 1.0
+	// shortAhead is how far ahead of a shortage a daemon asks, in seconds of a window of
+	// five: until an answer is there and once more if that is lost.
+	shortAhead = 0.5
+	// minHeldAhead is the number of requests in a window from which a daemon asks while it
+	// can still admit one. Each request of a small tenant would cause messages otherwise.
+	minHeldAhead = 3
+	// peakHalfLife is the time in which half of the greatest demand is forgotten. A daemon
+	// that lent what it does not need at the moment would ask for it soon.
+	peakHalfLife = 10 * time.Second
 	// boostInterval is the time after which a daemon that got less than it needs asks for
 	// more: lenders assume that most of them can lend.
-	boostInterval = 400 * time.Millisecond
+	boostInterval = 200 * time.Millisecond
 	boostStep     = 1.5
+	// maxSurplus is how much more than it needs a daemon borrows before it asks for less.
+	// It exceeds boostStep, so that loans do not go up and down.
+	maxSurplus = 2.5
 	// loanDelay is the time within which other daemons lend to one that asks.
 	loanDelay = 300 * time.Millisecond
 	// risingSlots are the slots, a second in a window of five, from which a rising demand is
@@ -93,7 +102,8 @@
 // latest window: a share that comes back is not used again before that.
 func (s *State) lent(now model.Time, a *account) float64 {
 	sum := 0.0
-	for borrower, loans := range a.lent {
+	for _, borrower := range slices.Sorted(maps.Keys(a.lent)) {
+		loans := a.lent[borrower]
 		loans = slices.DeleteFunc(loans, func(l loan) bool { return now >= l.until.Add(s.bounds.Window+s.slot()) })
 		if len(loans) == 0 {
 			delete(a.lent, borrower)
@@ -127,66 +137,69 @@
 	return sum
 }
 
-// need is the number of requests in a window that this daemon should be able to admit, so
-// that a tenant is hardly refused whose requests come independently at the rate of the
-// latest window, or of its latest second if that is greater.
-func (a *account) need() float64 {
-	arrivals := float64(a.arrivals.total)
-	need := arrivals + deviations*math.Sqrt(arrivals) + 1
+// need is the number of requests in a window that this daemon should be able to admit: those
+// of the latest windows with a margin, or more if the rate rises.
+func (a *account) need(now model.Time) float64 {
+	peak := a.peakAtTime(now)
+	need := peak + deviations*math.Sqrt(peak) + 1
 	if n := a.arrivals.since(risingSlots); n >= minRising {
 		need = max(need, float64(n*windowSlots/risingSlots))
 	}
 	return need
 }
 
-// isShort reports whether the requests that may arrive in the next second exceed a number.
+// peakAtTime is the greatest number of requests in a window, of which half is forgotten in
+// each peakHalfLife.
+func (a *account) peakAtTime(now model.Time) float64 {
+	return a.peak * math.Exp2(-float64(now.Sub(a.peakAt))/float64(peakHalfLife))
+}
+
+// isShort reports whether the requests that may arrive until others have lent exceed a
+// number.
 func (a *account) isShort(held float64) bool {
-	arrivals := float64(a.arrivals.total)
-	next := math.Sqrt(arrivals)
-	if n := a.arrivals.since(risingSlots); n >= minRising {
-		next = max(next, float64(n))
+	next := float64(a.arrivals.since(risingSlots)) * shortAhead
+	if held >= minHeldAhead {
+		next = max(1, next)
 	}
-	return arrivals+next >= held
+	return float64(a.arrivals.total)+next >= math.Floor(held)
 }
 
-// updateWant updates what this daemon asks for, after a request.
+// updateWant updates what this daemon asks for, after a request. It begins to ask when it is
+// short, and ends when it needs no more than it holds.
 func (s *State) updateWant(now model.Time, a *account) {
-	own := s.holding.share()
-	if now < s.spentUntil {
-		own = s.own(now, a)
+	if n := float64(a.arrivals.total); n >= a.peakAtTime(now) {
+		a.peak, a.peakAt = n, now
 	}
+	own := s.ownBeforeLoans(now, a)
 	if a.want == 0 && !a.isShort(own*s.allowance(a.limits)) {
 		return
 	}
-	want := min(a.need()/s.allowance(a.limits), 1) - own
-	if want > 0 && want >= a.want {
-		s.raiseWant(now, a, want)
-	}
+	s.setWant(now, a, own)
 	// A difference of less than one request is not worth a message.
 	if (a.want-a.toldWant)*s.allowance(a.limits) >= 1 || a.want > 0 && a.toldWant == 0 {
 		s.urgent = true
 	}
 }
 
-func (s *State) raiseWant(now model.Time, a *account, want float64) {
-	if a.want == 0 {
-		a.wantSince, a.boost = now, 1
-		s.wanting[a.tenant] = a
+// ownBeforeLoans is the share of a tenant that this daemon would hold without its loans to
+// others.
+func (s *State) ownBeforeLoans(now model.Time, a *account) float64 {
+	if now < s.spentUntil {
+		return s.own(now, a)
 	}
-	a.want, a.wantAt = want, now
+	return s.holding.share()
 }
 
-// refreshWant lets a want end that was not needed for wantHold.
-func (s *State) refreshWant(now model.Time, a *account) {
-	a.arrivals.advance(now, s.slot())
-	if a.want == 0 || now.Sub(a.wantAt) < wantHold {
-		return
-	}
-	a.want = 0
-	delete(s.wanting, a.tenant)
-	if want := min(a.need()/s.allowance(a.limits), 1) - s.holding.share(); want > 0 && a.isShort(s.holding.share()*s.allowance(a.limits)) {
-		s.raiseWant(now, a, want)
+func (s *State) setWant(now model.Time, a *account, own float64) {
+	want := max(0, min(a.need(now)/s.allowance(a.limits), 1)-own)
+	switch {
+	case want == 0:
+		delete(s.wanting, a.tenant)
+	case a.want == 0:
+		a.wantSince, a.boost = now, 1
+		s.wanting[a.tenant] = a
 	}
+	a.want = want
 }
 
 // Claims returns what this daemon asks for, the greatest shares first. They count as told.
@@ -194,16 +207,17 @@
 	var out []Claim
 	for _, name := range slices.Sorted(maps.Keys(s.wanting)) {
 		a := s.wanting[name]
-		s.refreshWant(now, a)
+		a.arrivals.advance(now, s.slot())
+		s.setWant(now, a, s.ownBeforeLoans(now, a))
 		a.toldWant = a.want
 		if a.want == 0 {
 			continue
 		}
-		missing := a.want - a.borrowedShare(now)
+		borrowed := a.borrowedShare(now)
 		switch {
-		case missing*s.allowance(a.limits) < 1:
+		case (a.want-borrowed)*s.allowance(a.limits) < 1:
 			a.wantSince = now
-			if missing < 0 {
+			if borrowed > maxSurplus*a.want {
 				a.boost = max(1, a.boost/boostStep)
 			}
 		case now.Sub(a.wantSince) >= boostInterval:
@@ -327,28 +341,33 @@
 func (s *State) loanFor(now model.Time, a *account, borrower string, asked float64) float64 {
 	share, allowance := s.holding.share(), s.allowance(a.limits)
 	used := float64(a.admitted.total) / allowance
-	available := share - max(used, a.need()/allowance, share*keepShare)
+	available := share - max(used, a.need(now)/allowance, share*keepShare)
 	whole := share*allowance >= 1
 	if !whole {
 		available = share - used
 	}
-	s.lent(now, a)
-	for other, loans := range a.lent {
+	lendable := available
+	// Loans that have ended are dropped.
+	_ = s.lent(now, a)
+	left := share
+	for _, other := range slices.Sorted(maps.Keys(a.lent)) {
 		if other != borrower {
-			available -= greatestShare(loans)
+			available -= greatestShare(a.lent[other])
+			left -= greatestShare(a.lent[other])
 		}
 	}
 	if available <= 0 {
 		return 0
 	}
-	sum, first, greatest := 0.0, "", 0.0
+	// This daemon's own claim counts among those for the parts of a request.
+	sum, first, greatest := 0.0, s.self, min(1, a.want*a.boost)
 	for _, name := range s.Borrowers(now) {
 		for _, c := range s.peers[name].claims {
 			if c.Tenant != a.tenant {
 				continue
 			}
 			sum += c.Share
-			if c.Share > greatest {
+			if c.Share > greatest || c.Share == greatest && name < first {
 				first, greatest = name, c.Share
 			}
 		}
@@ -362,7 +381,24 @@
 		return 0
 	}
 	wanted := asked * lendRatio / float64(max(1, s.holding.Holders-1))
-	return min(wanted, available*asked/sum)
+	most := min(available, lendable*asked/sum)
+	if a.peakAtTime(now) < 1 {
+		// Nobody misses what rounding up lends.
+		if more := wholeRequests(wanted*allowance+1, left*allowance) / allowance; more <= most {
+			return more
+		}
+	}
+	return wholeRequests(min(wanted, most)*allowance, left*allowance) / allowance
+}
+
+// wholeRequests rounds a loan down so that, of what the lender holds, the part of a request
+// that it cannot use goes first and then whole requests.
+func wholeRequests(loan, held float64) float64 {
+	part := held - math.Floor(held)
+	if loan <= part {
+		return loan
+	}
+	return part + math.Floor(loan-part)
 }
 
 // lend records a loan. Earlier ones that were greater stay counted until they end, since
--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -54,6 +54,8 @@
 
 // State is what one daemon knows of the quotas. It is not safe for concurrent use.
 type State struct {
+	// self is the name of this daemon.
+	self     string
 	bounds   Bounds
 	holding  Holding
 	accounts map[string]*account
@@ -69,13 +71,13 @@
 	prunedAt model.Time
 }
 
-// New returns the state of a daemon that starts at a time. Until Fresh is called, its share
+// New returns the state of the daemon self that starts at a time. Until Fresh is called, its share
 // counts as spent: an earlier process may have spent or lent it.
-func New(b Bounds, now model.Time) *State {
+func New(self string, b Bounds, now model.Time) *State {
 	if b.Window <= 0 {
 		b.Window = defaultWindow
 	}
-	s := &State{bounds: b, holding: Holding{Index: -1}, accounts: map[string]*account{}, wanting: map[string]*account{}, peers: map[string]*peer{}}
+	s := &State{self: self, bounds: b, holding: Holding{Index: -1}, accounts: map[string]*account{}, wanting: map[string]*account{}, peers: map[string]*peer{}}
 	s.spentUntil = now.Add(loanLifetime + b.Window)
 	return s
 }
@@ -234,13 +236,15 @@
 	refused     uint64
 	refusedAt   model.Time
 	nextRetryAt model.Time
+	// peak is the greatest number of arrivals in a window, at peakAt, which is forgotten by
+	// and by.
+	peak   float64
+	peakAt model.Time
 	// lent are the loans of this daemon by borrower, borrowed those to it by lender.
 	lent     map[string][]loan
 	borrowed map[string]loan
-	// want is the share that this daemon needs beyond its own. It rises at once and falls
-	// wantHold after it was last as high.
-	want   float64
-	wantAt model.Time
+	// want is the share that this daemon needs beyond its own.
+	want float64
 	// wantSince is when want became more than 0, boost by what the claim exceeds it, and
 	// toldWant the want that was told last.
 	wantSince model.Time
--- a/pkg/core/gateway/quotafleet_test.go
+++ b/pkg/core/gateway/quotafleet_test.go
@@ -73,7 +73,7 @@
 	f.entries[i].Incarnation++
 	f.daemons[i] = New(Options{Self: f.entries[i], RegionOf: map[string]string{"a": "north", "b": "north"}, RetryRatio: 0.2, RetrySlack: 20, MaxSilence: time.Second, Seed: f.rand.Uint64(), Quota: f.bounds})
 	// The time of a process begins at its start.
-	f.daemons[i].now, f.daemons[i].quota = f.now, quota.New(f.bounds, f.now)
+	f.daemons[i].now, f.daemons[i].quota = f.now, quota.New(f.entries[i].Name, f.bounds, f.now)
 	f.step(i, DaemonsListed{Daemons: f.entries})
 	f.step(i, ConfigSeen{Config: &Config{Version: f.config.Version, Routes: f.config.Routes, Services: f.config.Services, Tenants: f.config.Tenants}})
 	f.step(i, ServersListed{Servers: []Server{{ID: "s-1", Service: "s", Address: "10.1.0.1:80", FailureDomain: "a", Slots: 1000}}})
@@ -254,3 +254,7 @@
 
 // loanTime is the time for which loans are used.
 const loanTime = 1500 * time.Millisecond
+
+func (f *quotaFleet) indexOf(name string) int {
+	return slices.IndexFunc(f.entries, func(e DaemonEntry) bool { return e.Name == name })
+}
