--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -2,20 +2,20 @@
 
 import "github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 
-// Revisions returns the revision of the store up to which each kind is known.
-func (f *Follower) Revisions() map[Kind]uint64 {
+// Positions returns the position of the store up to which each kind is known.
+func (f *Follower) Positions() map[Kind]Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[Kind]uint64, len(f.view))
+	out := make(map[Kind]Position, len(f.view))
 	for kind, known := range f.view {
-		out[kind] = known.Revision
+		out[kind] = known.position()
 	}
 	return out
 }
 
-// View returns what is newer than the given revisions. A kind is returned whole if no
-// revision is given for it, or if its changes since then are no longer known.
-func (f *Follower) View(since map[Kind]uint64) View {
+// View returns what is newer than the given positions. A kind is returned whole if no
+// position is given for it, or if its changes since then are no longer known.
+func (f *Follower) View(since map[Kind]Position) View {
 	afterOutage := f.afterOutage()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -24,11 +24,11 @@
 		if !f.unconfirmed[kind] {
 			out.Confirmed = append(out.Confirmed, kind)
 		}
-		revision, asked := since[kind]
-		if asked && known.Revision <= revision {
+		position, asked := since[kind]
+		if asked && known.position().compare(position) <= 0 {
 			continue
 		}
-		if changes, ok := known.changesSince(revision); asked && ok {
+		if changes, ok := known.changesSince(position); asked && ok {
 			out.Kinds[kind] = changes
 		} else {
 			out.Kinds[kind] = known.clone()
@@ -38,14 +38,14 @@
 }
 
 // Adopt applies another daemon's view where it is newer than what this daemon knows.
-// askedSince are the revisions that the request for the view named.
-func (f *Follower) Adopt(v View, askedSince map[Kind]uint64) {
+// askedSince are the positions that the request for the view named.
+func (f *Follower) Adopt(v View, askedSince map[Kind]Position) {
 	for _, kind := range Kinds {
 		remote, ok := v.Kinds[kind]
 		if !ok {
 			continue
 		}
-		if since, asked := askedSince[kind]; asked && remote.Since <= since && remote.Since > 0 {
+		if since, asked := askedSince[kind]; asked && remote.Era == since.Era && remote.Since <= since.Revision && remote.Since > 0 {
 			f.applyRemoteChanges(kind, remote, v.AfterOutage)
 			continue
 		}
@@ -65,7 +65,7 @@
 	for name, revision := range remote.Deleted {
 		changes = append(changes, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
 	}
-	f.applyChanges(kind, changes, remote.Revision, sourceDaemon, afterOutage)
+	f.applyChanges(kind, changes, remote.position(), sourceDaemon, afterOutage)
 }
 
 // replaceState takes over and posts the whole state of a kind if it is newer than the
@@ -89,10 +89,10 @@
 	if relisted {
 		delete(f.relistDue, kind)
 	}
-	if ok && known.Revision >= next.Revision {
+	if ok && known.position().compare(next.position()) >= 0 {
 		return false
 	}
-	if relisted {
+	if relisted && known.Era == next.Era {
 		next.continueFrom(known)
 	}
 	f.view[kind] = next
@@ -111,12 +111,12 @@
 	}
 }
 
-// applyChanges records and posts the changes of a kind up to a revision, unless the
-// kind was not listed yet or a later revision is known.
-func (f *Follower) applyChanges(kind Kind, changes []Change, revision uint64, source string, afterOutage bool) {
+// applyChanges records and posts the changes of a kind up to a position, unless the
+// kind was not listed yet, or a later position or one of another era is known.
+func (f *Follower) applyChanges(kind Kind, changes []Change, at Position, source string, afterOutage bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	known, ok := f.recordChanges(kind, changes, revision)
+	known, ok := f.recordChanges(kind, changes, at)
 	if !ok || len(changes) == 0 {
 		return
 	}
@@ -131,15 +131,15 @@
 }
 
 // recordChanges records the changes of a kind; ok is false if the kind was not listed
-// yet or a later revision is known. The lock is released also after a panic.
-func (f *Follower) recordChanges(kind Kind, changes []Change, revision uint64) (known KindState, ok bool) {
+// yet, or a later position or one of another era is known. The lock is released also after a panic.
+func (f *Follower) recordChanges(kind Kind, changes []Change, at Position) (known KindState, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok = f.view[kind]
-	if !ok || revision < known.Revision {
+	if !ok || at.Era != known.Era || at.Revision < known.Revision {
 		return known, false
 	}
-	known.applyChanges(changes, revision)
+	known.applyChanges(changes, at.Revision)
 	f.view[kind] = known
 	return known, true
 }
--- a/pkg/edge/confirm_test.go
+++ b/pkg/edge/confirm_test.go
@@ -79,7 +79,7 @@
 			t.Errorf("a view confirms lists that are not confirmed: %+v", view)
 		}
 	}
-	since := starting.Revisions()
+	since := starting.Positions()
 	starting.Adopt(watching.View(since), since)
 	starting.awaitConfirmed(t, 0)
 }
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -257,7 +257,7 @@
 	if !ok {
 		return f.listKind(ctx, kind, false)
 	}
-	changes, revision, err := f.store.Watch(ctx, kind, known.Revision, wait)
+	changes, at, err := f.store.Watch(ctx, kind, known.position(), wait)
 	if err != nil {
 		if f.isRefreshDue(kind) {
 			return nil
@@ -265,7 +265,7 @@
 		return err
 	}
 	f.recordStoreCall(nil)
-	f.applyChanges(kind, changes, revision, sourceStore, f.afterOutage())
+	f.applyChanges(kind, changes, at, sourceStore, f.afterOutage())
 	f.confirm(kind)
 	return nil
 }
@@ -331,12 +331,12 @@
 func (f *Follower) listKind(ctx context.Context, kind Kind, mayBeStale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	objects, revision, err := f.store.List(ctx, kind, mayBeStale)
+	objects, at, err := f.store.List(ctx, kind, mayBeStale)
 	if err != nil {
 		return err
 	}
 	f.recordStoreCall(nil)
-	f.replaceState(kind, newKindState(objects, revision), sourceStore, f.afterOutage())
+	f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
 	if !mayBeStale {
 		f.confirm(kind)
 	}
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -95,21 +95,21 @@
 			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {},
 			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 		})
-		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, 5), sourceStore, false)
-		have := follower.Revisions()
+		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, Position{Revision: 5}), sourceStore, false)
+		have := follower.Positions()
 		follower.Adopt(view, have)
 		known := follower.View(nil).Kinds[KindServers]
 		remote, inView := view.Kinds[KindServers]
 		_, deleted := remote.Deleted["i-1"]
-		replaced := inView && remote.Revision > have[KindServers] && (remote.Since == 0 || remote.Since > have[KindServers])
+		replaced := inView && remote.position().compare(have[KindServers]) > 0 && (remote.Era != have[KindServers].Era || remote.Since == 0 || remote.Since > have[KindServers].Revision)
 		if _, ok := known.Objects["i-1"]; !ok && !deleted && !replaced {
 			t.Fatalf("i-1 is lost; view %+v", view)
 		}
-		if known.Revision < have[KindServers] {
+		if known.position().compare(have[KindServers]) < 0 {
 			t.Fatalf("revision went back to %d", known.Revision)
 		}
 		// What was adopted can be sent to other daemons.
-		if _, err := json.Marshal(follower.View(map[Kind]uint64{KindServers: math.MaxUint64})); err != nil {
+		if _, err := json.Marshal(follower.View(map[Kind]Position{KindServers: {Revision: math.MaxUint64}})); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -182,7 +182,7 @@
 // FetchView implements PeerLink.
 func (r *modelRun) FetchView(e gateway.FetchView) {
 	go func() {
-		since := r.follower.Revisions()
+		since := r.follower.Positions()
 		time.Sleep(2 * peerDelay)
 		from := r.daemon.fleet.byPeer[e.From]
 		source := from.run.Load()
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -13,7 +13,9 @@
 type modelStore struct {
 	mu       sync.Mutex
 	revision uint64
-	history  []modelChange
+	// era rises with each restore.
+	era     uint64
+	history []modelChange
 	// kept is the revision from which on changes can be watched.
 	kept uint64
 	// staleAge returns the age of the copy that answers a daemon's list which may be stale.
@@ -135,9 +137,16 @@
 	return nil
 }
 
-func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error) {
+// Era implements Store.
+func (c modelStoreClient) Era() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era
+}
+
+func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,12 +155,12 @@
 		at = at.Add(-c.staleAge(c.daemon))
 	}
 	objects, revision := c.stateAt(kind, at)
-	return objects, revision, nil
+	return objects, Position{c.era, revision}, nil
 }
 
-func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	end := time.After(wait)
 	c.mu.Lock()
@@ -162,30 +171,30 @@
 		if c.muted != begun {
 			c.mu.Unlock()
 			<-ctx.Done()
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		}
-		if since < c.kept {
+		if since.Revision < c.kept || since.Revision > c.revision {
 			c.mu.Unlock()
-			return nil, 0, ErrHistoryGone
+			return nil, Position{}, ErrHistoryGone
 		}
 		var out []Change
-		first, _ := slices.BinarySearchFunc(c.history, since+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
+		first, _ := slices.BinarySearchFunc(c.history, since.Revision+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
 		for _, m := range c.history[first:] {
 			if m.kind == kind {
 				out = append(out, m.Change)
 			}
 		}
-		revision, changed := c.revision, c.changed
+		at, changed := Position{c.era, c.revision}, c.changed
 		c.mu.Unlock()
 		if len(out) > 0 || ended {
-			return out, revision, nil
+			return out, at, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
 			ended = true
 		case <-ctx.Done():
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		}
 	}
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -112,7 +111,7 @@
 func (p *Peers) FetchView(e gateway.FetchView) {
 	go func() {
 		err := catchPanic(func() error {
-			since := p.follower.Revisions()
+			since := p.follower.Positions()
 			view, err := p.requestView(e.From, since)
 			if err == nil {
 				p.follower.Adopt(view, since)
@@ -126,11 +125,11 @@
 	}()
 }
 
-// requestView fetches what another daemon knows beyond the given revisions.
-func (p *Peers) requestView(from string, since map[Kind]uint64) (View, error) {
+// requestView fetches what another daemon knows beyond the given positions.
+func (p *Peers) requestView(from string, since map[Kind]Position) (View, error) {
 	query := url.Values{}
-	for kind, revision := range since {
-		query.Set(string(kind), strconv.FormatUint(revision, 10))
+	for kind, position := range since {
+		query.Set(string(kind), position.String())
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -176,11 +175,11 @@
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+viewPath, func(w http.ResponseWriter, r *http.Request) {
-		since := map[Kind]uint64{}
+		since := map[Kind]Position{}
 		for _, kind := range Kinds {
-			// A missing or unreadable revision asks for the whole state.
-			if revision, err := strconv.ParseUint(r.URL.Query().Get(string(kind)), 10, 64); err == nil {
-				since[kind] = revision
+			// A missing or unreadable position asks for the whole state.
+			if position, err := parsePosition(r.URL.Query().Get(string(kind))); err == nil {
+				since[kind] = position
 			}
 		}
 		w.Header().Set("Content-Type", "application/json")
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -24,6 +24,8 @@
 	Name     string          `json:"name"`
 	Revision uint64          `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Era is that in which the object was read; 0 if the store names none.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Change is one change of an object.
@@ -48,17 +50,21 @@
 
 // Store is the platform's store.
 type Store interface {
-	// List returns all objects of a kind and the revision of the list. With mayBeStale
+	// Era returns the latest era that an answer of the store, of whatever outcome, has
+	// named; 0 if none has.
+	Era() uint64
+	// List returns all objects of a kind and the position of the list. With mayBeStale
 	// the list may be seconds old and is cheap. Errors: ErrStore.
-	List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error)
-	// Watch waits up to wait for changes after a revision and returns them with the
-	// revision to continue from. Errors: ErrStore, ErrHistoryGone.
-	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error)
+	List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error)
+	// Watch waits up to wait for changes after a position and returns them with the
+	// position to continue from. If that has another era, the changes are meaningless and
+	// the kind has to be listed. Errors: ErrStore, ErrHistoryGone.
+	Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error)
 	// Create creates an object. If it exists, Create returns the existing object and
 	// ErrConflict.
 	Create(ctx context.Context, kind Kind, name string, value any) (Object, error)
 	// Replace changes an object if it still has the revision of o, and returns
-	// ErrConflict otherwise.
+	// ErrConflict otherwise. Further errors: ErrStore, ErrEraChanged.
 	Replace(ctx context.Context, kind Kind, o Object, value any) error
 	// Remove deletes an object.
 	Remove(ctx context.Context, kind Kind, name string) error
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -33,6 +33,14 @@
 	// old, if set, answers lists that may be stale, as of oldRevision.
 	old         []Object
 	oldRevision uint64
+	era         uint64
+}
+
+// Era implements Store.
+func (s *fakeStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *fakeStore) put(name, value string) {
@@ -53,25 +61,25 @@
 }
 
 // List implements Store.
-func (s *fakeStore) List(_ context.Context, _ Kind, mayBeStale bool) ([]Object, uint64, error) {
+func (s *fakeStore) List(_ context.Context, _ Kind, mayBeStale bool) ([]Object, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down || s.listsFail {
-		return nil, 0, ErrStore
+		return nil, Position{}, ErrStore
 	}
 	if mayBeStale && s.old != nil {
-		return s.old, s.oldRevision, nil
+		return s.old, Position{s.era, s.oldRevision}, nil
 	}
 	var out []Object
 	for _, o := range s.objects {
 		out = append(out, o)
 	}
-	return out, s.revision, nil
+	return out, Position{s.era, s.revision}, nil
 }
 
 // Watch implements Store.
-func (s *fakeStore) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -81,23 +89,23 @@
 		down, gone, silent := s.down, s.historyGone[kind], s.silent
 		var out []Change
 		for _, c := range s.changes {
-			if c.Object.Revision > since {
+			if c.Object.Revision > since.Revision {
 				out = append(out, c)
 			}
 		}
-		revision := s.revision
+		at := Position{s.era, s.revision}
 		delete(s.historyGone, kind)
 		s.mu.Unlock()
 		switch {
 		case down, ctx.Err() != nil:
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		case gone:
-			return nil, 0, ErrHistoryGone
+			return nil, Position{}, ErrHistoryGone
 		case silent:
 			<-ctx.Done()
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		case len(out) > 0 || time.Now().After(end):
-			return out, revision, nil
+			return out, at, nil
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
@@ -294,7 +302,7 @@
 	s.put("b", "1")
 	s.remove("a")
 	watching.awaitLeafs(t, time.Second, "[b]")
-	have := other.Revisions()
+	have := other.Positions()
 	view := watching.View(have)
 	if kind := view.Kinds[KindServers]; len(kind.Objects) != 1 || len(kind.Deleted) != 1 {
 		t.Errorf("view: %+v, want only the changes", kind)
@@ -314,9 +322,9 @@
 	empty.Adopt(watching.View(nil), nil)
 	empty.awaitLeafs(t, time.Second, "[b]")
 	// An older view must not undo newer changes.
-	empty.Adopt(received, map[Kind]uint64{KindServers: 0})
+	empty.Adopt(received, map[Kind]Position{KindServers: {}})
 	empty.awaitLeafs(t, time.Second, "[b]")
-	if empty.View(empty.Revisions()).Kinds[KindServers].Revision != 0 {
+	if empty.View(empty.Positions()).Kinds[KindServers].Revision != 0 {
 		t.Error("a view is sent to a daemon that knows it already")
 	}
 }
@@ -354,14 +362,14 @@
 
 // Guards against deletions that are kept for other daemons without bound.
 func TestDeletionsAreBounded(t *testing.T) {
-	f := newKindState(nil, 1)
+	f := newKindState(nil, Position{Revision: 1})
 	for i := range maxDeleted + 10 {
 		f.applyChanges([]Change{{Object: Object{Name: fmt.Sprint(i), Revision: uint64(i + 2)}, Deleted: true}}, uint64(i+2))
 	}
 	if len(f.Deleted) > maxDeleted {
 		t.Errorf("%d deletions are kept", len(f.Deleted))
 	}
-	if _, ok := f.changesSince(1); ok {
+	if _, ok := f.changesSince(Position{Revision: 1}); ok {
 		t.Error("changes are returned though deletions were dropped")
 	}
 }
@@ -374,7 +382,7 @@
 	f.SetWatching(true)
 	startFollowing(t, f)
 	f.awaitLeafs(t, time.Second, "[a]")
-	have := f.Revisions()
+	have := f.Positions()
 	s.put("b", "1")
 	s.remove("a")
 	s.mu.Lock()
@@ -383,7 +391,7 @@
 	s.put("c", "1")
 	f.awaitLeafs(t, 2*time.Second, "[b c]")
 	view := f.View(have).Kinds[KindServers]
-	if _, ok := view.Deleted["a"]; !ok || len(view.Objects) != 2 || view.Since > have[KindServers] {
+	if _, ok := view.Deleted["a"]; !ok || len(view.Objects) != 2 || view.Since > have[KindServers].Revision {
 		t.Errorf("view: %+v", view)
 	}
 }
@@ -406,7 +414,7 @@
 	s.historyGone, s.changes, s.listsFail = map[Kind]bool{KindServers: true, KindConfig: true}, nil, true
 	s.mu.Unlock()
 	time.Sleep(2 * fleetWatchInterval)
-	since := f.Revisions()
+	since := f.Positions()
 	f.Adopt(older.View(since), since)
 	f.awaitLeafs(t, 0, "[b]")
 	if got := f.View(nil).Kinds[KindServers].Revision; got < 3 {
@@ -465,7 +473,7 @@
 // holds a late change, although an earlier one is missing: it would not ask others for
 // the rest, and send requests to leafs that have left.
 func TestViewIsKnownUpToTheRevisionOfTheList(t *testing.T) {
-	known := newKindState([]Object{{Name: "a", Revision: 4}, {Name: "b", Revision: 9}}, 5)
+	known := newKindState([]Object{{Name: "a", Revision: 4}, {Name: "b", Revision: 9}}, Position{Revision: 5})
 	if known.Changed > 5 || known.Revision != 5 {
 		t.Errorf("changed at %d, known up to %d; want both up to 5", known.Changed, known.Revision)
 	}
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -76,7 +76,7 @@
 		if _, err := json.Marshal(f.View(nil)); err != nil {
 			t.Errorf("view of the %s version: %v", name, err)
 		}
-		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, 10, sourceDaemon, false)
+		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, Position{Revision: 10}, sourceDaemon, false)
 		f.awaitLeafs(t, time.Second, "[]")
 		server.Close()
 	}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -17,8 +17,13 @@
 	// deletions are not known.
 	Deleted map[string]uint64 `json:"deleted"`
 	Since   uint64            `json:"since"`
+	// Era is that of all these revisions; 0 if the store names none.
+	Era uint64 `json:"era,omitempty"`
 }
 
+// position returns the position up to which the state is known.
+func (f KindState) position() Position { return Position{f.Era, f.Revision} }
+
 // View is the latest known state of all kinds, as daemons send it to each other.
 type View struct {
 	Kinds map[Kind]KindState `json:"kinds"`
@@ -37,12 +42,12 @@
 // version, lacks. It rejects values that would hide all later changes.
 func (v View) validate() error {
 	for kind, f := range v.Kinds {
-		if f.Revision > maxExactNumber || f.Changed > maxExactNumber || f.Since > maxExactNumber {
-			return fmt.Errorf("%w: kind %.40s: revision %d, changed %d or since %d too large", ErrView, kind, f.Revision, f.Changed, f.Since)
+		if max(f.Revision, f.Changed, f.Since, f.Era) > maxExactNumber {
+			return fmt.Errorf("%w: kind %.40s: revision %d, changed %d, since %d or era %d too large", ErrView, kind, f.Revision, f.Changed, f.Since, f.Era)
 		}
 		for name, o := range f.Objects {
-			if o.Name != name || o.Revision > maxExactNumber {
-				return fmt.Errorf("%w: kind %.40s: object %.40q has another name, %.40q, or too large a revision, %d", ErrView, kind, name, o.Name, o.Revision)
+			if o.Name != name || max(o.Revision, o.Era) > maxExactNumber {
+				return fmt.Errorf("%w: kind %.40s: object %.40q has another name, %.40q, or too large a revision, %d, or era, %d", ErrView, kind, name, o.Name, o.Revision, o.Era)
 			}
 		}
 		for name, revision := range f.Deleted {
@@ -65,12 +70,12 @@
 const maxDeleted = 2000
 
 // newKindState returns the state according to a list, which may hold some later changes
-// but is known to be whole only up to the revision.
-func newKindState(objects []Object, revision uint64) KindState {
-	f := KindState{Revision: revision, Objects: make(map[string]Object, len(objects)), Deleted: map[string]uint64{}, Since: revision}
+// but is known to be whole only up to the position.
+func newKindState(objects []Object, at Position) KindState {
+	f := KindState{Revision: at.Revision, Era: at.Era, Objects: make(map[string]Object, len(objects)), Deleted: map[string]uint64{}, Since: at.Revision}
 	for _, o := range objects {
 		f.Objects[o.Name] = o
-		f.Changed = max(f.Changed, min(o.Revision, revision))
+		f.Changed = max(f.Changed, min(o.Revision, at.Revision))
 	}
 	return f
 }
@@ -100,13 +105,14 @@
 	}
 }
 
-// changesSince returns what changed after a revision; ok is false if that is no longer
-// known and the whole state is needed.
-func (f KindState) changesSince(revision uint64) (changes KindState, ok bool) {
-	if revision < f.Since {
+// changesSince returns what changed after a position; ok is false if that is no longer
+// known, as from an earlier era, and the whole state is needed.
+func (f KindState) changesSince(since Position) (changes KindState, ok bool) {
+	revision := since.Revision
+	if since.Era != f.Era || revision < f.Since {
 		return KindState{}, false
 	}
-	out := KindState{Revision: f.Revision, Changed: f.Changed, Objects: map[string]Object{}, Deleted: map[string]uint64{}, Since: revision}
+	out := KindState{Revision: f.Revision, Era: f.Era, Changed: f.Changed, Objects: map[string]Object{}, Deleted: map[string]uint64{}, Since: revision}
 	for name, o := range f.Objects {
 		if o.Revision > revision {
 			out.Objects[name] = o
