Era of the store: what was in force stays in force when it comes back from a copy

Views and gossip are ordered by era first and revision second. Each daemon retains what an older copy lacks or shows in an older state, and starting daemons fetch that from those that run longest. The stand-in store and the soak test play copies.

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -106,10 +106,24 @@
 type ServerRemoved struct {
 	ID          string
 	AfterOutage bool
+	// Left means that the leaf is known to have left: its entry does not come back.
+	Left bool
 }
 
 // EvacuationsListed is the full list of failure domains that must get no work.
-type EvacuationsListed struct{ FailureDomains []string }
+type EvacuationsListed struct {
+	FailureDomains []string
+	// Held are those of them whose evacuation the store no longer shows since it came back
+	// from a copy.
+	Held []string
+}
+
+// StoreEraSeen is a later era of the store than those seen before. Copied means that
+// something was known in an earlier one.
+type StoreEraSeen struct {
+	Era    uint64
+	Copied bool
+}
 
 // ViewAdvanced has the store's revisions of changes that were applied before, by kind; 0
 // for a kind without one.
@@ -123,7 +137,11 @@
 }
 
 // DaemonsListed is the full list of daemons in the store.
-type DaemonsListed struct{ Daemons []DaemonEntry }
+type DaemonsListed struct {
+	Daemons []DaemonEntry
+	// Era is that of the list; 0 if the store names none.
+	Era uint64
+}
 
 // GossipReceived is a gossip message of another daemon, whose entry is the first.
 type GossipReceived struct {
@@ -165,6 +183,7 @@
 func (ServerChanged) event()     {}
 func (ServerRemoved) event()     {}
 func (EvacuationsListed) event() {}
+func (StoreEraSeen) event()      {}
 func (ViewAdvanced) event()      {}
 func (ViewFetched) event()       {}
 func (DaemonsListed) event()     {}
@@ -282,6 +301,8 @@
 	Daemon, From string
 	// View has the revisions that the daemon has told of.
 	View ViewRevisions
+	// Retained asks for what the daemon retains from earlier eras of the store.
+	Retained bool
 }
 
 // WatchStore makes this daemon start or stop watching the store.
@@ -355,6 +376,8 @@
 	LogStoreLost
 	LogStoreRegained
 	LogStopStarted
+	LogStoreCopied
+	LogEvacuationHeld
 )
 
 // QueryReport summarises how a request was handled.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -44,11 +44,14 @@
 	servers   map[string]*server
 	services  map[string]*service
 	evacuated map[string]bool
-	routes    map[string]*routeState
-	queries   map[QueryID]*query
-	calls     map[CallID]*call
-	lastCall  CallID
-	timers    timerHeap
+	// heldEvacuations are the evacuated failure domains whose evacuation the store no
+	// longer shows since it came back from a copy.
+	heldEvacuations []string
+	routes          map[string]*routeState
+	queries         map[QueryID]*query
+	calls           map[CallID]*call
+	lastCall        CallID
+	timers          timerHeap
 
 	daemons map[string]*daemon
 	members memberState
@@ -59,6 +62,8 @@
 	viewConfirmedAt model.Time
 	storeDownSince  model.Time
 	storeDown       bool
+	// storeEra is the latest known era of the store; 0 if it names none.
+	storeEra uint64
 	// storeFailedAt is when a call to the store last failed; 0 if none did.
 	storeFailedAt model.Time
 	stopping      bool
@@ -112,6 +117,8 @@
 		s.serverRemoved(e)
 	case EvacuationsListed:
 		s.evacuationsListed(e)
+	case StoreEraSeen:
+		s.storeEraSeen(e)
 	case ViewAdvanced:
 		s.viewAdvanced(e)
 	case ViewFetched:
@@ -234,18 +241,22 @@
 type Status struct {
 	ConfigVersion uint64
 	// ViewAge is for how long the list of leafs has not been confirmed.
-	ViewAge      time.Duration
-	View         ViewRevisions
-	Ready        bool
-	Watcher      bool
-	StoreDown    bool
-	Leafs        int
-	ColdLeafs    int
-	SuspectLeafs int
-	Daemons      int
-	OpenRequests int
-	OpenCalls    int
-	Queued       int
+	ViewAge   time.Duration
+	View      ViewRevisions
+	Ready     bool
+	Watcher   bool
+	StoreDown bool
+	// StoreEra is the latest known era of the store, HeldEvacuations the number of
+	// evacuations in force that it no longer shows.
+	StoreEra        uint64
+	HeldEvacuations int
+	Leafs           int
+	ColdLeafs       int
+	SuspectLeafs    int
+	Daemons         int
+	OpenRequests    int
+	OpenCalls       int
+	Queued          int
 	// LeastTokens is the smallest retry budget of any service, in attempts.
 	LeastTokens float64
 	// Throttle is the highest probability of any route with which a request is refused
@@ -261,7 +272,7 @@
 	_, daemons := s.StoreRank()
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
-		Watcher: s.members.watcher, StoreDown: s.storeDown, Leafs: len(s.servers), Daemons: daemons,
+		Watcher: s.members.watcher, StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
 	for _, srv := range s.servers {
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -58,6 +58,9 @@
 	// fetches the view of one that does: that one has watched it since, even if all
 	// daemons started together.
 	viewConfirmDelay = 1800 * time.Millisecond
+	// eraConfirmDelay is how long after it learned of a new era of the store a daemon
+	// fetches the view of another: by then that one has listed all kinds in this era.
+	eraConfirmDelay = time.Second
 	// storeOutageDelay is how long the store must be unreachable before another
 	// daemon's view is used.
 	storeOutageDelay = 700 * time.Millisecond
@@ -105,6 +108,11 @@
 	return e
 }
 
+// sameStoredFields reports whether two entries agree in what the store holds.
+func (e DaemonEntry) sameStoredFields(x DaemonEntry) bool {
+	return e.CallerAddress == x.CallerAddress && e.PeerAddress == x.PeerAddress && e.FailureDomain == x.FailureDomain && e.Cores == x.Cores
+}
+
 // daemon is what this daemon knows about another one.
 type daemon struct {
 	DaemonEntry
@@ -162,10 +170,14 @@
 	quotaShare float64
 	// watcher means that this daemon watches the store.
 	watcher bool
-	// viewConfirmed means that a view was fetched after viewConfirmDelay.
+	// viewConfirmed means that a view was fetched after confirmAfter.
 	viewConfirmed bool
-	// listed means that the store's last list contained this daemon's entry.
-	listed bool
+	// eraSeenAt is when the latest era of the store became known.
+	eraSeenAt model.Time
+	// listed means that the store's last list contained this daemon's entry. listedEra is
+	// the era of that list.
+	listed    bool
+	listedEra uint64
 }
 
 // self returns this daemon's current entry.
@@ -187,23 +199,33 @@
 
 func (s *State) daemonsListed(e DaemonsListed) {
 	listed := map[string]bool{}
+	copied := e.Era > s.members.listedEra
+	outdated := false
 	for _, entry := range e.Daemons {
 		listed[entry.Name] = true
+		outdated = outdated || entry.Name == s.opt.Self.Name && !entry.sameStoredFields(s.opt.Self)
 		if d := s.mergeEntry(entry, false); d != nil {
 			d.listed = true
 		}
 	}
 	for _, name := range s.daemonNames() {
-		if d := s.daemons[name]; d.listed && !listed[name] {
+		d := s.daemons[name]
+		switch {
+		case !d.listed || listed[name]:
+		case copied && s.alive(d):
+			// It registers again. Until then it is known from its gossip.
+			d.listed = false
+		default:
 			delete(s.daemons, name)
 		}
 	}
 	self := listed[s.opt.Self.Name]
-	if s.members.listed && !self {
-		// The daemon was cut off for so long that another one has deleted its entry.
+	if (s.members.listed || copied) && !self || copied && outdated {
+		// The daemon was cut off for so long that another one has deleted its entry, or
+		// the store came back from a copy without it.
 		s.emit(RegisterDaemon{})
 	}
-	s.members.listed = self
+	s.members.listed, s.members.listedEra = self, max(s.members.listedEra, e.Era)
 	s.updateActive()
 }
 
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -146,7 +146,7 @@
 	if !ok {
 		return
 	}
-	if !e.AfterOutage && !s.peerOutageRecent() {
+	if e.Left || (!e.AfterOutage && !s.peerOutageRecent()) {
 		s.dropServer(srv, "removed")
 		return
 	}
@@ -207,7 +207,12 @@
 			s.markDomainCold(d)
 		}
 	}
-	s.evacuated = next
+	for _, d := range e.Held {
+		if !slices.Contains(s.heldEvacuations, d) {
+			s.emit(Log{Kind: LogEvacuationHeld, Subject: d})
+		}
+	}
+	s.evacuated, s.heldEvacuations = next, e.Held
 }
 
 // markDomainCold treats the leafs of a domain that is no longer evacuated as cold: they
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -9,19 +9,32 @@
 
 // ViewRevisions are the store's revisions of the latest changes that a daemon knows of.
 // Each kind has its own: a daemon may know the latest change of one kind and lack an
-// earlier one of the other.
+// earlier one of the other. All are revisions of one era of the store; those of different
+// eras do not compare.
 type ViewRevisions struct {
+	// Era is 0 if the store names none.
+	Era         uint64 `json:"era,omitempty"`
 	Servers     uint64 `json:"servers"`
 	Evacuations uint64 `json:"evacuations"`
 }
 
-// merge returns the greater revision of each kind.
+// merge returns the greater revision of each kind, of the later era.
 func (v ViewRevisions) merge(w ViewRevisions) ViewRevisions {
-	return ViewRevisions{Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations)}
+	if v.Era != w.Era {
+		if v.Era > w.Era {
+			return v
+		}
+		return w
+	}
+	return ViewRevisions{Era: v.Era, Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations)}
 }
 
-// exceeds reports whether v has a greater revision of any kind than w.
+// exceeds reports whether v is of a later era than w, or of the same one with a greater
+// revision of any kind.
 func (v ViewRevisions) exceeds(w ViewRevisions) bool {
+	if v.Era != w.Era {
+		return v.Era > w.Era
+	}
 	return v.Servers > w.Servers || v.Evacuations > w.Evacuations
 }
 
@@ -64,15 +77,20 @@
 	if d.fetchingSince == 0 {
 		d.fetchingSince = s.now
 	}
-	s.emit(FetchView{Daemon: d.Name, From: d.PeerAddress, View: d.View})
+	s.emit(FetchView{Daemon: d.Name, From: d.PeerAddress, View: d.View, Retained: !s.members.viewConfirmed && s.storeEra > 0})
 }
 
 // confirmView fetches the view of a daemon that watches the store once after the start,
 // also if it tells of nothing new: the lists that this daemon has read at its start may
-// lack deletions.
+// lack deletions. With eras, each daemon does so once in each era, and from one of those
+// that run longest: they know what was in force before the store came back from a copy.
 func (s *State) confirmView() {
 	m := &s.members
-	if m.viewConfirmed || m.watcher || s.now < model.Time(viewConfirmDelay) || s.now < m.nextFetchAt {
+	if m.viewConfirmed || (m.watcher && s.storeEra == 0) || s.now < m.confirmAfter() || s.now < m.nextFetchAt {
+		return
+	}
+	if s.storeEra > 0 {
+		s.fetchFromOldest()
 		return
 	}
 	var watching []*daemon
@@ -88,6 +106,41 @@
 	}
 }
 
+// confirmAfter returns when a view is to be fetched that confirms this daemon's lists.
+func (m *memberState) confirmAfter() model.Time {
+	return max(model.Time(viewConfirmDelay), m.eraSeenAt.Add(eraConfirmDelay))
+}
+
+// fetchFromOldest fetches the view of one of the living daemons that run longest, in this
+// daemon's era. A quarter of them share the fetches of a fleet, but no fewer than three.
+func (s *State) fetchFromOldest() {
+	var known []*daemon
+	for _, name := range s.daemonNames() {
+		if d := s.daemons[name]; s.alive(d) && !s.fetchFails(d) && d.View.Era >= s.storeEra {
+			known = append(known, d)
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	slices.SortStableFunc(known, func(a, b *daemon) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	oldest := known[:min(len(known), max(3, len(known)/4))]
+	s.members.nextFetchAt = s.now.Add(minFetchInterval)
+	s.fetchFrom(oldest[s.rand.IntN(len(oldest))])
+}
+
+// storeEraSeen records the latest era of the store. Other daemons may know what this one
+// was not told in the era before.
+func (s *State) storeEraSeen(e StoreEraSeen) {
+	if e.Era <= s.storeEra {
+		return
+	}
+	s.storeEra, s.members.eraSeenAt, s.members.viewConfirmed = e.Era, s.now, false
+	if e.Copied {
+		s.emit(Log{Kind: LogStoreCopied, Number: int64(e.Era)})
+	}
+}
+
 // viewFetched records whether a daemon's view could be fetched.
 func (s *State) viewFetched(e ViewFetched) {
 	d, ok := s.daemons[e.Fetch.Daemon]
@@ -97,7 +150,7 @@
 	d.fetchingSince, d.fetchFailedAt = 0, 0
 	if e.OK {
 		d.fetched = d.fetched.merge(e.Fetch.View)
-		s.members.viewConfirmed = s.now >= model.Time(viewConfirmDelay)
+		s.members.viewConfirmed = s.members.viewConfirmed || s.now >= s.members.confirmAfter() && e.Fetch.View.Era >= s.storeEra && (e.Fetch.Retained || s.storeEra == 0)
 	} else {
 		d.fetchFailedAt = s.now
 	}
@@ -176,6 +229,7 @@
 	}
 	return cmp.Or(
 		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
+		cmp.Compare(a.View.Era, b.View.Era),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
 	) > 0
 }
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -1,6 +1,10 @@
 package edge
 
-import "github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+import (
+	"slices"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+)
 
 // Positions returns the position of the store up to which each kind is known.
 func (f *Follower) Positions() map[Kind]Position {
@@ -19,9 +23,9 @@
 	afterOutage := f.afterOutage()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := View{Kinds: map[Kind]KindState{}, AfterOutage: afterOutage}
+	out := View{Kinds: map[Kind]KindState{}, AfterOutage: afterOutage, Era: f.era}
 	for kind, known := range f.view {
-		if !f.unconfirmed[kind] {
+		if !f.unconfirmed[kind] && known.Era == f.era {
 			out.Confirmed = append(out.Confirmed, kind)
 		}
 		position, asked := since[kind]
@@ -40,6 +44,7 @@
 // Adopt applies another daemon's view where it is newer than what this daemon knows.
 // askedSince are the positions that the request for the view named.
 func (f *Follower) Adopt(v View, askedSince map[Kind]Position) {
+	f.mergeRetained(v.Retained)
 	for _, kind := range Kinds {
 		remote, ok := v.Kinds[kind]
 		if !ok {
@@ -51,8 +56,45 @@
 		}
 		f.replaceState(kind, remote.clone(), sourceDaemon, v.AfterOutage)
 	}
+	f.observeEra(v.Era, false)
+	f.mu.Lock()
+	current := v.Era == f.era
+	f.mu.Unlock()
 	for _, kind := range v.Confirmed {
-		f.confirm(kind)
+		if current {
+			f.confirm(kind)
+		}
+	}
+}
+
+// mergeRetained adopts and posts what another daemon has retained.
+func (f *Follower) mergeRetained(remote map[Kind]map[string]Retained) {
+	if len(remote) == 0 {
+		return
+	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	for _, kind := range f.adoptRetained(remote) {
+		f.postState(kind, sourceDaemon, false)
+		if kind == KindServers {
+			f.postLeft()
+		}
+	}
+}
+
+// postLeft posts that the leafs which a copy shows again had left before.
+func (f *Follower) postLeft() {
+	f.mu.Lock()
+	var left []string
+	for name, r := range f.retained[KindServers] {
+		if _, ok := f.effectiveObject(KindServers, f.view[KindServers], name); r.Gone && !ok {
+			left = append(left, name)
+		}
+	}
+	f.mu.Unlock()
+	slices.Sort(left)
+	for _, name := range left {
+		f.post(gateway.ServerRemoved{ID: name, Left: true})
 	}
 }
 
@@ -73,15 +115,15 @@
 func (f *Follower) replaceState(kind Kind, next KindState, source string, afterOutage bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	if f.storeStateIfNewer(kind, next, source) {
-		f.postState(kind, source, afterOutage)
+	if stored, copied := f.storeStateIfNewer(kind, next, source); stored {
+		f.postState(kind, source, afterOutage || copied)
 	}
 }
 
 // storeStateIfNewer stores the whole state of a kind. It reports false, and stores
-// nothing, if the known state is at least as new. The lock is released also after a
-// panic.
-func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source string) bool {
+// nothing, if the known state is at least as new. copied means that the known state was
+// of an earlier era. The lock is released also after a panic.
+func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source string) (stored, copied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok := f.view[kind]
@@ -90,16 +132,28 @@
 		delete(f.relistDue, kind)
 	}
 	if ok && known.position().compare(next.position()) >= 0 {
-		return false
+		return false, false
+	}
+	copied = ok && known.Era < next.Era
+	switch {
+	case copied:
+		f.retainPrevious(kind, known, next)
+	case ok:
+		for name := range known.Objects {
+			if _, shown := next.Objects[name]; !shown {
+				f.retainDeleted(kind, known, name)
+			}
+		}
 	}
-	if relisted && known.Era == next.Era {
+	if relisted && !copied {
 		next.continueFrom(known)
 	}
 	f.view[kind] = next
+	f.dropRetained(kind)
 	if kind == KindDaemons {
 		f.signalDaemonsListed()
 	}
-	return true
+	return true, copied
 }
 
 // signalDaemonsListed lets KeepRegistered continue. The caller holds the lock.
@@ -116,7 +170,7 @@
 func (f *Follower) applyChanges(kind Kind, changes []Change, at Position, source string, afterOutage bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	known, ok := f.recordChanges(kind, changes, at)
+	effective, ok := f.recordChanges(kind, changes, at)
 	if !ok || len(changes) == 0 {
 		return
 	}
@@ -124,22 +178,37 @@
 		f.postState(kind, source, afterOutage)
 		return
 	}
-	for _, c := range changes {
+	for _, c := range effective {
 		f.postServerChange(c, afterOutage)
 	}
-	f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: known.Changed}})
+	f.postAdvanced(kind)
 }
 
-// recordChanges records the changes of a kind; ok is false if the kind was not listed
-// yet, or a later position or one of another era is known. The lock is released also after a panic.
-func (f *Follower) recordChanges(kind Kind, changes []Change, at Position) (known KindState, ok bool) {
+// recordChanges records the changes of a kind and returns what they mean for the objects
+// in force; ok is false if the kind was not listed yet, or a later position or one of
+// another era is known. The lock is released also after a panic.
+func (f *Follower) recordChanges(kind Kind, changes []Change, at Position) (effective []Change, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, ok = f.view[kind]
+	known, ok := f.view[kind]
 	if !ok || at.Era != known.Era || at.Revision < known.Revision {
-		return known, false
+		return nil, false
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			f.retainDeleted(kind, known, c.Object.Name)
+		}
 	}
 	known.applyChanges(changes, at.Revision)
 	f.view[kind] = known
-	return known, true
+	f.dropRetained(kind)
+	for _, c := range changes {
+		if o, ok := f.effectiveObject(kind, known, c.Object.Name); ok {
+			c = Change{Object: o}
+		} else {
+			c.Deleted = true
+		}
+		effective = append(effective, c)
+	}
+	return effective, true
 }
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -86,6 +87,11 @@
 	// call it for that before confirmAfter.
 	unconfirmed  map[Kind]bool
 	confirmAfter time.Time
+	// era is the latest known era of the store, from its answers or other daemons.
+	era uint64
+	// retained are objects that prevail over what the store shows since it came back from
+	// a copy, or over what a later copy may show.
+	retained map[Kind]map[string]Retained
 	// daemonsListed is closed once the daemons were listed.
 	daemonsListed chan struct{}
 	// registerRequests asks KeepRegistered to write the daemon's entry again.
@@ -109,7 +115,7 @@
 func NewFollower(c FollowerConfig) *Follower {
 	return &Follower{
 		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, rank: c.Rank,
-		view: map[Kind]KindState{}, relistDue: map[Kind]bool{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{},
+		view: map[Kind]KindState{}, relistDue: map[Kind]bool{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{}, retained: map[Kind]map[string]Retained{},
 		daemonsListed: make(chan struct{}), registerRequests: make(chan struct{}, 1),
 	}
 }
@@ -120,9 +126,11 @@
 	if err := catchPanic(func() error { return f.listAtStart(ctx, kind) }); err != nil {
 		f.reportFailure(kind, err)
 	}
+	f.observeEra(f.store.Era(), true)
 	backoff := initialBackoff
 	for f.awaitSyncNeeded(ctx, kind) {
 		err := catchPanic(func() error { return f.syncOnce(ctx, kind) })
+		f.observeEra(f.store.Era(), true)
 		switch {
 		case ctx.Err() != nil:
 		case err == nil:
@@ -246,9 +254,10 @@
 	// rank takes the reducer's lock. It must not be called while f.mu is held: effects
 	// take f.mu while the reducer's lock is held.
 	place, count := f.rank()
+	era := f.store.Era()
 	f.mu.Lock()
 	known, ok := f.view[kind]
-	ok = ok && !f.relistDue[kind]
+	ok = ok && !f.relistDue[kind] && known.Era >= era
 	wait := f.watchWait(kind, place, count)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	f.cancelWatch[kind] = cancel
@@ -264,7 +273,13 @@
 		}
 		return err
 	}
+	if at.Era < known.Era {
+		return fmt.Errorf("%w: watch %s: answered in era %d, %d is known", ErrStore, kind, at.Era, known.Era)
+	}
 	f.recordStoreCall(nil)
+	if at.Era > known.Era {
+		return nil
+	}
 	f.applyChanges(kind, changes, at, sourceStore, f.afterOutage())
 	f.confirm(kind)
 	return nil
@@ -337,7 +352,7 @@
 	}
 	f.recordStoreCall(nil)
 	f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
-	if !mayBeStale {
+	if !mayBeStale && at.Era == f.store.Era() {
 		f.confirm(kind)
 	}
 	return nil
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -28,6 +28,11 @@
 	// oneWay, if set, reports whether connections to a daemon fail although its datagrams
 	// arrive.
 	oneWay atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
+	// sequence is that of the last write of a leaf.
+	sequence uint64
+	// silentCopies makes running watches break off silently when the store comes back from
+	// a copy.
+	silentCopies bool
 }
 
 // modelDaemon is one VM with its daemon; run holds nil while no process runs.
@@ -52,7 +57,13 @@
 // newModelFleet starts a fleet with leafs in all domains and waits until it is calm.
 // The bounds are those of the deployments of that size.
 func newModelFleet(t *testing.T, size int) *modelFleet {
+	return newModelFleetOfEra(t, size, 0)
+}
+
+// newModelFleetOfEra is newModelFleet with a store that names its era.
+func newModelFleetOfEra(t *testing.T, size int, era uint64) *modelFleet {
 	f := &modelFleet{t: t, store: newModelStore(), byPeer: map[string]*modelDaemon{}, drainBound: 3 * time.Second, evacuateBound: 5 * time.Second, contact: 4 * time.Second}
+	f.store.era = era
 	if size > 60 {
 		f.drainBound, f.contact = 6*time.Second, 6*time.Second
 	}
@@ -93,8 +104,9 @@
 
 // putLeaf writes the entry of a leaf; leaf i is in domain i modulo their number.
 func (f *modelFleet) putLeaf(i int, draining bool) time.Time {
+	f.sequence++
 	return f.store.put(KindServers, leafName(i), gateway.Server{
-		ID: leafName(i), Service: "x", Address: "10.9.0.1:80", FailureDomain: modelDomains[i%len(modelDomains)], Slots: 4, Draining: draining,
+		ID: leafName(i), Service: "x", Address: "10.9.0.1:80", FailureDomain: modelDomains[i%len(modelDomains)], Slots: 4, Draining: draining, StartedMS: 1, Sequence: f.sequence,
 		WarmUpLeft: time.Duration(rand.IntN(2)) * time.Millisecond,
 	})
 }
@@ -120,7 +132,7 @@
 		Pool: leafconn.NewPool(nil, leafconn.NewBudget(1<<20)), Log: func(gateway.Log) {}, OnLimits: func(gateway.Limits) {}, OnPanic: onPanic,
 	})
 	run.follower = NewFollower(FollowerConfig{
-		Store: modelStoreClient{d.fleet.store, d.entry.Name}, Decoder: modelDecoder{}, Post: run.runtime.Post,
+		Store: d.fleet.store.client(d.entry.Name), Decoder: modelDecoder{}, Post: run.runtime.Post,
 		OnInvalid: func(kind Kind, name string, err error) { d.fleet.t.Errorf("%s %s: %v", kind, name, err) }, Rank: run.runtime.StoreRank,
 	})
 	run.runtime.Link(run, run.follower)
@@ -194,13 +206,17 @@
 			r.runtime.Post(gateway.ViewFetched{Fetch: e})
 			return
 		}
-		data, err := json.Marshal(source.follower.View(since))
+		view := source.follower.View(since)
+		if e.Retained {
+			view.Retained = source.follower.RetainedObjects()
+		}
+		data, err := json.Marshal(view)
 		if err != nil {
 			r.daemon.fleet.t.Error(err)
 			return
 		}
 		time.Sleep(2 * peerDelay)
-		var view View
+		view = View{}
 		if err := json.Unmarshal(data, &view); err != nil {
 			r.daemon.fleet.t.Error(err)
 			return
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -80,6 +81,26 @@
 	s.kept = s.revision
 }
 
+// restore makes the store come back from a copy that is age old: later writes are gone, and
+// their revisions are assigned again. The running watches break off silently if they are
+// muted, too.
+func (s *modelStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-age)
+	for len(s.history) > 0 && s.history[len(s.history)-1].at.After(at) {
+		s.history = s.history[:len(s.history)-1]
+	}
+	s.revision = 100
+	if n := len(s.history); n > 0 {
+		s.revision = s.history[n-1].Object.Revision
+	}
+	s.kept = min(s.kept, s.revision)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // setStaleAge sets the age of the copies that answer lists which may be stale.
 func (s *modelStore) setStaleAge(age func(daemon string) time.Duration) {
 	s.mu.Lock()
@@ -123,9 +144,15 @@
 type modelStoreClient struct {
 	*modelStore
 	daemon string
+	// seen is the latest era that an answer has named.
+	seen *atomic.Uint64
 }
 
-// begin counts a call and lets its time pass.
+func (s *modelStore) client(daemon string) modelStoreClient {
+	return modelStoreClient{s, daemon, new(atomic.Uint64)}
+}
+
+// begin counts a call and lets its time pass. The answer, whatever it is, names the era.
 func (c modelStoreClient) begin() error {
 	time.Sleep(modelCallTime)
 	c.mu.Lock()
@@ -134,15 +161,12 @@
 	if c.isDown(c.daemon) {
 		return ErrStore
 	}
+	c.seen.Store(c.era)
 	return nil
 }
 
 // Era implements Store.
-func (c modelStoreClient) Era() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.era
-}
+func (c modelStoreClient) Era() uint64 { return c.seen.Load() }
 
 func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error) {
 	if err := c.begin(); err != nil {
@@ -155,6 +179,9 @@
 		at = at.Add(-c.staleAge(c.daemon))
 	}
 	objects, revision := c.stateAt(kind, at)
+	for i := range objects {
+		objects[i].Era = c.era
+	}
 	return objects, Position{c.era, revision}, nil
 }
 
@@ -181,10 +208,12 @@
 		first, _ := slices.BinarySearchFunc(c.history, since.Revision+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
 		for _, m := range c.history[first:] {
 			if m.kind == kind {
+				m.Object.Era = c.era
 				out = append(out, m.Change)
 			}
 		}
 		at, changed := Position{c.era, c.revision}, c.changed
+		c.seen.Store(c.era)
 		c.mu.Unlock()
 		if len(out) > 0 || ended {
 			return out, at, nil
@@ -208,17 +237,21 @@
 	c.mu.Unlock()
 	for _, o := range objects {
 		if o.Name == name {
+			o.Era = c.Era()
 			return o, ErrConflict
 		}
 	}
 	c.put(kind, name, value)
-	return Object{Name: name}, nil
+	return Object{Name: name, Era: c.Era()}, nil
 }
 
 func (c modelStoreClient) Replace(_ context.Context, kind Kind, o Object, value any) error {
 	if err := c.begin(); err != nil {
 		return err
 	}
+	if o.Era != c.Era() {
+		return ErrEraChanged
+	}
 	c.put(kind, o.Name, value)
 	return nil
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -28,6 +28,8 @@
 	maxReplyHeaderBytes = 16 << 10
 	// viewPath is where daemons serve their view to each other.
 	viewPath = "/view"
+	// retainedParam asks for the retained objects with a view.
+	retainedParam = "retained"
 )
 
 // Peers exchanges gossip over UDP and views over HTTP with the other daemons, both at
@@ -112,7 +114,7 @@
 	go func() {
 		err := catchPanic(func() error {
 			since := p.follower.Positions()
-			view, err := p.requestView(e.From, since)
+			view, err := p.requestView(e.From, since, e.Retained)
 			if err == nil {
 				p.follower.Adopt(view, since)
 			}
@@ -125,9 +127,13 @@
 	}()
 }
 
-// requestView fetches what another daemon knows beyond the given positions.
-func (p *Peers) requestView(from string, since map[Kind]Position) (View, error) {
+// requestView fetches what another daemon knows beyond the given positions, if asked with
+// the objects that it has retained.
+func (p *Peers) requestView(from string, since map[Kind]Position, retained bool) (View, error) {
 	query := url.Values{}
+	if retained {
+		query.Set(retainedParam, "1")
+	}
 	for kind, position := range since {
 		query.Set(string(kind), position.String())
 	}
@@ -184,7 +190,11 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		counted := &countingWriter{ResponseWriter: w, count: &p.traffic.ViewsSent}
-		if err := writeView(counted, r, p.follower.View(since)); err != nil {
+		view := p.follower.View(since)
+		if r.URL.Query().Has(retainedParam) {
+			view.Retained = p.follower.RetainedObjects()
+		}
+		if err := writeView(counted, r, view); err != nil {
 			p.onError(r.RemoteAddr, err)
 		}
 	})
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -69,6 +69,11 @@
 		if err == nil {
 			return nil
 		}
+		f.observeEra(f.store.Era(), true)
+		if errors.Is(err, ErrEraChanged) {
+			// The next attempt reads the entry back.
+			continue
+		}
 		f.recordStoreCall(err)
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -26,24 +26,26 @@
 // postState posts the whole state of a kind.
 func (f *Follower) postState(kind Kind, source string, afterOutage bool) {
 	f.mu.Lock()
-	known := f.view[kind].clone()
+	known := f.view[kind]
+	objects, held := f.effectiveObjects(kind)
 	f.mu.Unlock()
 	switch kind {
 	case KindConfig:
-		f.postConfig(known.Objects, source)
+		f.postConfig(objects, source)
 	case KindServers:
-		f.post(f.decodeServers(known.Objects, afterOutage))
-		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: known.Changed}})
+		f.post(f.decodeServers(objects, afterOutage))
 	case KindEvacuations:
-		e := gateway.EvacuationsListed{}
-		for name := range known.Objects {
+		e := gateway.EvacuationsListed{Held: held}
+		for name := range objects {
 			e.FailureDomains = append(e.FailureDomains, name)
 		}
 		f.post(e)
-		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Evacuations: known.Changed}})
 	case KindDaemons:
-		f.post(f.decodeDaemons(known.Objects))
+		e := f.decodeDaemons(objects)
+		e.Era = known.Era
+		f.post(e)
 	}
+	f.postAdvanced(kind)
 }
 
 // configName is the name of the object that holds the configuration.
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -33,6 +33,11 @@
 	// Confirmed are the kinds that a call to the store has confirmed since the daemon
 	// started.
 	Confirmed []Kind `json:"confirmed,omitempty"`
+	// Era is the latest era of the store that the daemon knows; 0 if the store names none.
+	Era uint64 `json:"era,omitempty"`
+	// Retained are the objects that prevail over what the store shows, if they were asked
+	// for.
+	Retained map[Kind]map[string]Retained `json:"retained,omitempty"`
 }
 
 // ErrView means that another daemon sent a view that no daemon can have.
@@ -41,6 +46,12 @@
 // validate fills in the maps that a view from another daemon, which may be of another
 // version, lacks. It rejects values that would hide all later changes.
 func (v View) validate() error {
+	if v.Era > maxExactNumber {
+		return fmt.Errorf("%w: era %d too large", ErrView, v.Era)
+	}
+	if err := validateRetained(v.Retained); err != nil {
+		return err
+	}
 	for kind, f := range v.Kinds {
 		if max(f.Revision, f.Changed, f.Since, f.Era) > maxExactNumber {
 			return fmt.Errorf("%w: kind %.40s: revision %d, changed %d, since %d or era %d too large", ErrView, kind, f.Revision, f.Changed, f.Since, f.Era)
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -38,6 +38,8 @@
 	gateway.LogDaemonSilent:    logevent.EdgeDaemonSilent,
 	gateway.LogStoreLost:       logevent.EdgeStoreLost,
 	gateway.LogStoreRegained:   logevent.EdgeStoreRegained,
+	gateway.LogStoreCopied:     logevent.EdgeStoreCopied,
+	gateway.LogEvacuationHeld:  logevent.EdgeEvacuationHeld,
 	gateway.LogStopStarted:     logevent.EdgeStopStarted,
 }
 
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -169,6 +169,8 @@
 	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return toFloat(s.Ready) })
 	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return toFloat(s.Watcher) })
 	gauge("store_down", "1 if calls to the store fail.", func(s gateway.Status) float64 { return toFloat(s.StoreDown) })
+	gauge("store_era", "Era of the store; 0 if it names none. It rises when the store comes back from a copy.", func(s gateway.Status) float64 { return float64(s.StoreEra) })
+	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
 	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
 	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
 	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -30,6 +30,8 @@
 	EdgeStoreLost        ID = 1743
 	EdgeStoreRegained    ID = 1744
 	EdgeRegistrationDone ID = 1745
+	EdgeStoreCopied      ID = 1746
+	EdgeEvacuationHeld   ID = 1747
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
 )
@@ -61,6 +63,8 @@
 	{EdgeStoreLost, "edge_store_lost", log.WarnLevel, "Calls to the store fail, first with the error in detail; the last view stays in use."},
 	{EdgeStoreRegained, "edge_store_regained", log.InfoLevel, "Calls to the store work again after age_ms."},
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry was written to the store."},
+	{EdgeStoreCopied, "edge_store_copied", log.WarnLevel, "The store names a new era: it came back from a copy and may lack its last writes. All kinds are listed again; what was in force stays in force."},
+	{EdgeEvacuationHeld, "edge_evacuation_held", log.WarnLevel, "The store no longer shows an evacuation since it came back from a copy. It stays in force until the operator's next word, two minutes at most."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
 }
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -21,7 +21,7 @@
 // kinds of steps. Those of processes and links to the store hit a daemon, those of
 // leafs and links to them a leaf.
 var kinds = []string{
-	"kill", "terminate", "pause", "store-down", "store-compact", "configure", "reshard", "drain-leaf", "evacuate",
+	"kill", "terminate", "pause", "store-down", "store-compact", "store-copy", "configure", "reshard", "drain-leaf", "evacuate",
 	"leaf-loses", "leaf-sheds", "leaf-slow", "leaf-fails", "leaf-extra",
 	"link-leaf-delayed", "link-leaf-reset", "link-leaf-deaf", "link-leaf-mute", "link-leaf-silent",
 	"link-store-delayed", "link-store-reset", "link-store-mute", "link-store-silent",
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -78,6 +79,9 @@
 		}
 	})
 	plan := newPlan(seed, *length, daemons, len(s.leafs))
+	if slices.ContainsFunc(plan, func(x step) bool { return x.kind == "store-copy" }) {
+		s.store.SetEra(1)
+	}
 	for _, x := range plan {
 		t.Log(x)
 	}
@@ -135,6 +139,8 @@
 		done := s.storeDisturbed()
 		s.store.Compact()
 		done()
+	case "store-copy":
+		s.copyStore(x.length)
 	case "configure", "reshard":
 		s.mu.Lock()
 		layout := s.versions[len(s.versions)-1].layout
@@ -154,6 +160,19 @@
 	}
 }
 
+// copyStore makes the store come back from a copy of that age. Operators and leafs write
+// again what it lacks after the promises with a time bound hold again: until then the
+// daemons alone keep in force what was.
+func (s *site) copyStore(age time.Duration) {
+	done := s.storeDisturbed()
+	content := s.store.Copy()
+	time.Sleep(age)
+	writeAgain := s.store.Restore(content)
+	done()
+	time.Sleep(contact + time.Second)
+	writeAgain()
+}
+
 // playLink disturbs the way to a leaf, a daemon's way to the store, or that of
 // callers to a daemon.
 func (s *site) playLink(x step) {
