--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -2,37 +2,38 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
-// Revisions returns the revision of the store up to which each kind is known.
-func (f *Follower) Revisions() map[Kind]uint64 {
+// Positions returns the position of the store up to which each kind is known.
+func (f *Follower) Positions() map[Kind]Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[Kind]uint64, len(f.view))
+	out := make(map[Kind]Position, len(f.view))
 	for kind, known := range f.view {
-		out[kind] = known.Revision
+		out[kind] = known.position()
 	}
 	return out
 }
 
-// View returns what is newer than the given revisions. A kind is returned whole if no
-// revision is given for it, or if its changes since then are no longer known.
-func (f *Follower) View(since map[Kind]uint64) View {
+// View returns what is newer than the given positions. A kind is returned whole if no
+// position is given for it, or if its changes since then are no longer known.
+func (f *Follower) View(since map[Kind]Position) View {
 	afterOutage := f.afterOutage()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := View{Kinds: map[Kind]KindState{}, AfterOutage: afterOutage}
+	out := View{Kinds: map[Kind]KindState{}, AfterOutage: afterOutage, Era: f.era}
 	for kind, known := range f.view {
-		if !f.unconfirmed[kind] {
+		if !f.unconfirmed[kind] && known.Era == f.era {
 			out.Confirmed = append(out.Confirmed, kind)
 		}
-		revision, asked := since[kind]
-		if asked && known.Revision <= revision {
+		position, asked := since[kind]
+		if asked && known.position().compare(position) <= 0 {
 			continue
 		}
-		if changes, ok := known.changesSince(revision); asked && ok {
+		if changes, ok := known.changesSince(position); asked && ok {
 			out.Kinds[kind] = changes
 		} else {
 			out.Kinds[kind] = known.clone()
@@ -42,21 +43,59 @@
 }
 
 // Adopt applies another daemon's view where it is newer than what this daemon knows.
-// askedSince are the revisions that the request for the view named.
-func (f *Follower) Adopt(v View, askedSince map[Kind]uint64) {
+// askedSince are the positions that the request for the view named.
+func (f *Follower) Adopt(v View, askedSince map[Kind]Position) {
+	f.mergeRetained(v.Retained)
 	for _, kind := range Kinds {
 		remote, ok := v.Kinds[kind]
 		if !ok {
 			continue
 		}
-		if since, asked := askedSince[kind]; asked && remote.Since <= since && remote.Since > 0 {
+		if since, asked := askedSince[kind]; asked && remote.Era == since.Era && remote.Since <= since.Revision && remote.Since > 0 {
 			f.applyRemoteChanges(kind, remote, v.AfterOutage)
 			continue
 		}
 		f.replaceState(kind, remote.clone(), sourceDaemon, v.AfterOutage)
 	}
+	f.observeEra(v.Era, false)
+	f.mu.Lock()
+	current := v.Era == f.era
+	f.mu.Unlock()
 	for _, kind := range v.Confirmed {
-		f.confirm(kind)
+		if current {
+			f.confirm(kind)
+		}
+	}
+}
+
+// mergeRetained adopts and posts what another daemon has retained.
+func (f *Follower) mergeRetained(remote map[Kind]map[string]Retained) {
+	if len(remote) == 0 {
+		return
+	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	for _, kind := range f.adoptRetained(remote) {
+		f.postState(kind, sourceDaemon, false)
+		if kind == KindServers {
+			f.postLeft()
+		}
+	}
+}
+
+// postLeft posts that the leafs which a copy shows again had left before.
+func (f *Follower) postLeft() {
+	f.mu.Lock()
+	var left []string
+	for name, r := range f.retained[KindServers] {
+		if _, ok := f.effectiveObject(KindServers, f.view[KindServers], name); r.Gone && !ok {
+			left = append(left, name)
+		}
+	}
+	f.mu.Unlock()
+	slices.Sort(left)
+	for _, name := range left {
+		f.post(gateway.ServerRemoved{ID: name, Left: true})
 	}
 }
 
@@ -69,7 +108,7 @@
 	for name, revision := range remote.Deleted {
 		changes = append(changes, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
 	}
-	f.applyChanges(kind, changes, remote.Revision, sourceDaemon, afterOutage)
+	f.applyChanges(kind, changes, remote.position(), sourceDaemon, afterOutage)
 }
 
 // replaceState takes over and posts the whole state of a kind if it is newer than the
@@ -78,15 +117,15 @@
 	f.hideKeys(kind, next.Objects, source)
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	if f.storeStateIfNewer(kind, next, source) {
-		f.postState(kind, source, afterOutage)
+	if stored, copied := f.storeStateIfNewer(kind, next, source); stored {
+		f.postState(kind, source, afterOutage || copied)
 	}
 }
 
 // storeStateIfNewer stores the whole state of a kind. It reports false, and stores
-// nothing, if the known state is at least as new. The lock is released also after a
-// panic.
-func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source string) bool {
+// nothing, if the known state is at least as new. copied means that the known state was
+// of an earlier era. The lock is released also after a panic.
+func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source string) (stored, copied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok := f.view[kind]
@@ -94,17 +133,29 @@
 	if relisted {
 		delete(f.relistDue, kind)
 	}
-	if ok && known.Revision >= next.Revision {
-		return false
+	if ok && known.position().compare(next.position()) >= 0 {
+		return false, false
+	}
+	copied = ok && known.Era < next.Era
+	switch {
+	case copied:
+		f.retainPrevious(kind, known, next)
+	case ok:
+		for name := range known.Objects {
+			if _, shown := next.Objects[name]; !shown {
+				f.retainDeleted(kind, known, name)
+			}
+		}
 	}
-	if relisted {
+	if relisted && !copied {
 		next.continueFrom(known)
 	}
 	f.view[kind] = next
+	f.dropRetained(kind)
 	if kind == KindDaemons {
 		f.signalDaemonsListed()
 	}
-	return true
+	return true, copied
 }
 
 // signalDaemonsListed lets KeepRegistered continue. The caller holds the lock.
@@ -116,9 +167,9 @@
 	}
 }
 
-// applyChanges records and posts the changes of a kind up to a revision, unless the
-// kind was not listed yet or a later revision is known.
-func (f *Follower) applyChanges(kind Kind, changes []Change, revision uint64, source string, afterOutage bool) {
+// applyChanges records and posts the changes of a kind up to a position, unless the
+// kind was not listed yet, or a later position or one of another era is known.
+func (f *Follower) applyChanges(kind Kind, changes []Change, at Position, source string, afterOutage bool) {
 	for i := range changes {
 		if o := &changes[i].Object; !changes[i].Deleted {
 			f.hideKeysOf(kind, o, source)
@@ -126,7 +177,7 @@
 	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
-	known, ok := f.recordChanges(kind, changes, revision)
+	effective, ok := f.recordChanges(kind, changes, at)
 	if !ok || len(changes) == 0 {
 		return
 	}
@@ -134,24 +185,39 @@
 		f.postState(kind, source, afterOutage)
 		return
 	}
-	for _, c := range changes {
+	for _, c := range effective {
 		f.postServerChange(c, afterOutage)
 	}
-	f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Servers: known.Changed}})
+	f.postAdvanced(kind)
 }
 
-// recordChanges records the changes of a kind; ok is false if the kind was not listed
-// yet or a later revision is known. The lock is released also after a panic.
-func (f *Follower) recordChanges(kind Kind, changes []Change, revision uint64) (known KindState, ok bool) {
+// recordChanges records the changes of a kind and returns what they mean for the objects
+// in force; ok is false if the kind was not listed yet, or a later position or one of
+// another era is known. The lock is released also after a panic.
+func (f *Follower) recordChanges(kind Kind, changes []Change, at Position) (effective []Change, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known, ok = f.view[kind]
-	if !ok || revision < known.Revision {
-		return known, false
+	known, ok := f.view[kind]
+	if !ok || at.Era != known.Era || at.Revision < known.Revision {
+		return nil, false
 	}
-	known.applyChanges(changes, revision)
+	for _, c := range changes {
+		if c.Deleted {
+			f.retainDeleted(kind, known, c.Object.Name)
+		}
+	}
+	known.applyChanges(changes, at.Revision)
 	f.view[kind] = known
-	return known, true
+	f.dropRetained(kind)
+	for _, c := range changes {
+		if o, ok := f.effectiveObject(kind, known, c.Object.Name); ok {
+			c = Change{Object: o}
+		} else {
+			c.Deleted = true
+		}
+		effective = append(effective, c)
+	}
+	return effective, true
 }
 
 // unusableConfig replaces the value of a configuration in which keys cannot be told from
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -66,7 +66,7 @@
 		}))
 		f := newRecordingFollower(&fakeStore{objects: map[string]Object{}, down: true})
 		p := NewPeers(nil, func(gateway.Event) {}, f.Follower, func(string, error) {})
-		got, err := p.requestView(strings.TrimPrefix(server.URL, "http://"), nil)
+		got, err := p.requestView(strings.TrimPrefix(server.URL, "http://"), nil, false)
 		if err != nil {
 			t.Fatalf("view of the %s version: %v", name, err)
 		}
@@ -76,7 +76,7 @@
 		if _, err := json.Marshal(f.View(nil)); err != nil {
 			t.Errorf("view of the %s version: %v", name, err)
 		}
-		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, 10, sourceDaemon, false)
+		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, Position{Revision: 10}, sourceDaemon, false)
 		f.awaitLeafs(t, time.Second, "[]")
 		server.Close()
 	}
@@ -97,7 +97,7 @@
 			_, _ = w.Write([]byte(view))
 		}))
 		p := NewPeers(nil, func(gateway.Event) {}, newRecordingFollower(newFakeStore()).Follower, func(string, error) {})
-		if got, err := p.requestView(strings.TrimPrefix(server.URL, "http://"), nil); err == nil {
+		if got, err := p.requestView(strings.TrimPrefix(server.URL, "http://"), nil, false); err == nil {
 			t.Errorf("%s: accepted: %+v", name, got)
 		}
 		server.Close()
