--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -178,6 +178,9 @@
 	// the era of that list.
 	listed    bool
 	listedEra uint64
+	// registered means that this daemon's entry is in the store as far as is known,
+	// registeredBefore that it was at some time.
+	registered, registeredBefore bool
 }
 
 // self returns this daemon's current entry.
@@ -225,8 +228,12 @@
 		// the store came back from a copy without it.
 		s.emit(RegisterDaemon{})
 	}
+	if self || s.members.listed {
+		s.members.registered = self
+	}
 	s.members.listed, s.members.listedEra = self, max(s.members.listedEra, e.Era)
 	s.updateActive()
+	s.updateQuotaHolding()
 }
 
 // daemonNames returns the names of the other daemons in sorted order, so that effects
