Roll-outs: selection by version, exposure, evidence and verdicts

Package rollout decides for one service which versions get requests. The gateway composes it; the follower follows orders if the settings have rollout and writes verdicts conditionally; the store's stand-in and operator know orders and statuses. Gossip tells of the revision of roll-outs, the progress of orders and evidence by leaf.

--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -22,6 +22,7 @@
 		{Name: "status", Synopsis: "show the state of an edge daemon and the daemons that it knows", New: func() Action { return new(edgeStatusAction) }},
 		{Name: "routes", Synopsis: "show the configuration in force at an edge daemon", New: func() Action { return new(edgeRoutesAction) }},
 		{Name: "leafs", Args: "[SERVICE]", Synopsis: "show what an edge daemon knows of leafs", New: func() Action { return new(edgeLeafsAction) }},
+		{Name: "rollouts", Synopsis: "show the orders of roll-outs that an edge daemon knows", New: func() Action { return new(edgeRolloutsAction) }},
 		{Name: "explain", Args: "HOST PATH", Synopsis: "show where a request would go now", New: func() Action { return new(edgeExplainAction) }},
 		{Name: "follow", Args: "REQUEST-ID [FILE...]", Synopsis: "find a request in logs, from files or standard input", New: func() Action { return new(edgeFollowAction) }},
 		{Name: "report", Args: "[FILE...]", Synopsis: "show from logs how requests ended and what they waited for", New: func() Action { return new(edgeReportAction) }},
@@ -175,8 +176,8 @@
 func (l edgeLeafs) WriteText(w io.Writer) error {
 	var out strings.Builder
 	for _, x := range l {
-		fmt.Fprintf(&out, "%s %s %s %s: usable %v, draining %v, evacuated %v, cold %d ms, calls %d, load %.1f, latency x%.1f, failures %.2f, silent %d ms\n",
-			x.Service, x.ID, x.Address, x.FailureDomain, x.Usable, x.Draining, x.Evacuated, x.ColdMS, x.OpenCalls, x.Load, x.RelativeLatency, x.FailureRate, x.SilentMS)
+		fmt.Fprintf(&out, "%s %s %s %s: version %s, usable %v, excluded by version %v, draining %v, evacuated %v, cold %d ms, calls %d, load %.1f, latency x%.1f, failures %.2f, silent %d ms\n",
+			x.Service, x.ID, x.Address, x.FailureDomain, x.Version, x.Usable, x.Excluded, x.Draining, x.Evacuated, x.ColdMS, x.OpenCalls, x.Load, x.RelativeLatency, x.FailureRate, x.SilentMS)
 	}
 	_, err := io.WriteString(w, out.String())
 	return err
--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -155,9 +155,20 @@
 	active := s.active(nil)
 	s.members.quotaShare = s.quotaShareOf(s.opt.Self.Name, active)
 	names := make(map[string]bool, len(active))
+	s.members.writerTurn = lateWriterTurn
 	for _, e := range active {
 		names[e.Name] = true
 	}
+	s.members.selfActive = names[s.opt.Self.Name]
+	if s.members.selfActive {
+		turn := 0
+		for _, e := range active {
+			if compareByHash(e, s.opt.Self) < 0 {
+				turn++
+			}
+		}
+		s.members.writerTurn = min(turn, lateWriterTurn)
+	}
 	for name, d := range s.daemons {
 		if names[name] && !d.active {
 			d.activeSince = s.now
--- a/pkg/core/gateway/call.go
+++ b/pkg/core/gateway/call.go
@@ -14,7 +14,9 @@
 	server *server
 	sentAt model.Time
 	// begun means that the first byte of the request may have been sent, at begunAt.
-	begun     bool
+	begun bool
+	// cold means that the leaf was cold when the attempt was sent.
+	cold      bool
 	begunAt   model.Time
 	cancelled bool
 	ended     bool
@@ -32,7 +34,7 @@
 func (s *State) sendCall(q *query, i int, srv *server, hedge bool) {
 	s.lastCall++
 	p := &q.parts[i]
-	c := &call{id: s.lastCall, query: q, part: i, server: srv, sentAt: s.now}
+	c := &call{id: s.lastCall, query: q, part: i, server: srv, sentAt: s.now, cold: srv.coldUntil > s.now}
 	c.loadBefore = s.estimatedLoad(srv)
 	c.expected = time.Duration(srv.expectedRatio(c.loadBefore) * float64(s.route(q.route).typicalAttemptTime(q.route)))
 	s.calls[c.id] = c
@@ -40,6 +42,7 @@
 	p.calls = append(p.calls, c)
 	p.countedAttempts++
 	srv.inflight = append(srv.inflight, c)
+	s.countExposure(srv)
 	q.sent++
 	q.openCalls++
 	if hedge {
@@ -62,6 +65,7 @@
 	q.openCalls--
 	c.server.removeInflight(c)
 	s.recordCallEnd(c.server, c, e, s.route(q.route))
+	s.recordVersionAnswer(c, e.Outcome)
 	s.scanQueue(c.server.svc)
 	if q.closed {
 		if q.openCalls == 0 {
--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -40,6 +40,9 @@
 // among up to three random candidates. Leafs that the part has tried before are
 // candidates only if no other is left.
 func (s *State) chooseLeaf(svc *service, q *query, p *part) (*server, choiceResult) {
+	if srv := s.sampledLeaf(svc, q, p); srv != nil {
+		return srv, leafChosen
+	}
 	var candidates []*server
 	anyBusy := false
 	for _, srv := range svc.servers {
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -355,6 +355,11 @@
 	LogStoreLost
 	LogStoreRegained
 	LogStopStarted
+	LogRolloutStarted
+	LogRolloutWithdrawn
+	LogRolloutActing
+	LogRolloutVerdict
+	LogRolloutWriteFailed
 )
 
 // QueryReport summarises how a request was handled.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -29,6 +29,8 @@
 	IsSeed bool
 	// Seeds are peer addresses that get this daemon's gossip until it knows the leafs.
 	Seeds []string
+	// Rollout bounds the exposure of new versions; nil if roll-outs are not followed.
+	Rollout *RolloutLimits
 	// Seed initialises the random number generator, so that a run can be repeated.
 	Seed uint64
 }
@@ -71,6 +73,7 @@
 	lapsed int
 	// waitingServices are the services with queued parts.
 	waitingServices []*service
+	rollouts        rolloutState
 }
 
 // New returns a reducer that knows no configuration and no leafs yet.
@@ -85,6 +88,7 @@
 		queries:   map[QueryID]*query{},
 		calls:     map[CallID]*call{},
 		daemons:   map[string]*daemon{},
+		rollouts:  newRolloutState(),
 	}
 }
 
@@ -112,6 +116,10 @@
 		s.serverRemoved(e)
 	case EvacuationsListed:
 		s.evacuationsListed(e)
+	case RolloutsListed:
+		s.rolloutsListed(e)
+	case VerdictWritten:
+		s.verdictWritten(e)
 	case ViewAdvanced:
 		s.viewAdvanced(e)
 	case ViewFetched:
@@ -138,8 +146,9 @@
 // caller that recovered from a panic in Step.
 func (s *State) EffectsSoFar() []Effect { return s.effects }
 
-// runDue handles query timers, lapsed leafs, queued parts and gossip that are due.
+// runDue handles roll-outs, query timers, lapsed leafs, queued parts and gossip that are due.
 func (s *State) runDue() {
+	s.rolloutsDue()
 	s.handleDueQueries()
 	s.dropLapsed()
 	s.scanQueues()
@@ -156,7 +165,7 @@
 	if len(s.waitingServices) > 0 {
 		wake = min(wake, s.now.Add(queueScanInterval))
 	}
-	return wake
+	return min(wake, s.rollouts.nextAt)
 }
 
 // Ready reports whether the daemon may receive requests.
@@ -254,6 +263,11 @@
 	// Share is this daemon's share of the quotas that all daemons divide among
 	// themselves.
 	Share float64
+	// RunningRollouts are the orders without a verdict in the store, ExcludedLeafs those
+	// that get no requests, or only sampled ones, because of their version.
+	RunningRollouts, ExcludedLeafs int
+	// ExposedAttempts counts the attempts at leafs of target versions during roll-outs.
+	ExposedAttempts uint64
 }
 
 // Status returns the values for metrics.
@@ -271,7 +285,11 @@
 		if srv.relativeLatency >= suspectRelativeLatency {
 			out.SuspectLeafs++
 		}
+		if srv.excluded {
+			out.ExcludedLeafs++
+		}
 	}
+	out.RunningRollouts, out.ExposedAttempts = s.runningRollouts(), s.rollouts.exposed
 	for _, rs := range s.routes {
 		out.Throttle = max(out.Throttle, rs.throttle.lastProbability())
 	}
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -88,6 +88,7 @@
 	// No daemon uses the greatest number, since none could be greater.
 	if known.Incarnation > self.Incarnation && known.Incarnation < math.MaxUint64 {
 		self.Incarnation = known.Incarnation + 1
+		s.restartCounts()
 		s.members.fullGossipPending = true
 	}
 }
--- a/pkg/core/gateway/inspect.go
+++ b/pkg/core/gateway/inspect.go
@@ -8,16 +8,20 @@
 
 // LeafStatus is what a daemon knows about a leaf.
 type LeafStatus struct {
-	ID            string  `json:"id"`
-	Service       string  `json:"service"`
-	Address       string  `json:"address"`
-	FailureDomain string  `json:"failureDomain"`
-	Usable        bool    `json:"usable"`
-	Draining      bool    `json:"draining"`
-	Evacuated     bool    `json:"evacuated"`
-	ColdMS        int64   `json:"coldMs"`
-	OpenCalls     int     `json:"openCalls"`
-	Load          float64 `json:"load"`
+	ID            string `json:"id"`
+	Service       string `json:"service"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Usable        bool   `json:"usable"`
+	// Version is that of the leaf's software; Excluded means that it gets no requests, or
+	// only sampled ones, because of its version.
+	Version   string  `json:"version"`
+	Excluded  bool    `json:"excluded"`
+	Draining  bool    `json:"draining"`
+	Evacuated bool    `json:"evacuated"`
+	ColdMS    int64   `json:"coldMs"`
+	OpenCalls int     `json:"openCalls"`
+	Load      float64 `json:"load"`
 	// RelativeLatency is 1 for the typical latency of a route, more for a slower leaf.
 	RelativeLatency float64 `json:"relativeLatency"`
 	FailureRate     float64 `json:"failureRate"`
@@ -36,7 +40,7 @@
 		srv.decay(s.now)
 		out = append(out, LeafStatus{
 			ID: srv.ID, Service: srv.Service, Address: srv.Address, FailureDomain: srv.FailureDomain,
-			Usable: s.usable(srv) && s.hasCapacity(srv), Draining: srv.Draining, Evacuated: s.evacuated[srv.FailureDomain],
+			Usable: s.usable(srv) && s.hasCapacity(srv), Version: srv.Version, Excluded: srv.excluded, Draining: srv.Draining, Evacuated: s.evacuated[srv.FailureDomain],
 			ColdMS: max(0, srv.coldUntil.Sub(s.now).Milliseconds()), OpenCalls: len(srv.inflight), Load: s.estimatedLoad(srv),
 			RelativeLatency: srv.relativeLatency, FailureRate: srv.failureRate, SilentMS: srv.unansweredFor(s.now).Milliseconds(),
 		})
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -160,6 +160,10 @@
 	// quotaShare is this daemon's share of the quotas that all daemons divide among
 	// themselves; 0 if not yet computed.
 	quotaShare float64
+	// selfActive means that callers are sent to this daemon; writerTurn is its place, from
+	// 0, in the order in which daemons write verdicts of roll-outs.
+	selfActive bool
+	writerTurn int
 	// watcher means that this daemon watches the store.
 	watcher bool
 	// viewConfirmed means that a view was fetched after viewConfirmDelay.
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -221,6 +221,7 @@
 func (s *State) startPart(q *query, i int) {
 	p := &q.parts[i]
 	s.depositRetryTokens(p.svc)
+	s.countVersionRequest(p.svc)
 	srv, result := s.chooseLeaf(p.svc, q, p)
 	switch result {
 	case leafChosen:
--- a/pkg/core/gateway/sections.go
+++ b/pkg/core/gateway/sections.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -17,6 +18,8 @@
 type Sections struct {
 	Quota    []TenantDemand
 	Rollouts []VersionEvidence
+	// Progress tells of the running orders that Rollouts is about.
+	Progress []RolloutProgress
 	Capacity []LeafCapacity
 }
 
@@ -29,20 +32,11 @@
 }
 
 // VersionEvidence is what a daemon's own attempts show of a version of a service's software
-// on one route. Counts are cumulative since the start of the daemon's process.
-type VersionEvidence struct {
-	Service string
-	// Order identifies the order of the roll-out.
-	Order uint64
-	Route string
-	// Target tells the target version from the versions before.
-	Target               bool
-	Attempts, BadAnswers uint64
-	// Latencies are numbers of answers by latency, in buckets of package rollout.
-	Latencies []uint32
-	// Leafs is the number of leafs that answered, BadLeafs of those with a bad answer.
-	Leafs, BadLeafs uint32
-}
+// on one route.
+type VersionEvidence = rollout.Evidence
+
+// RolloutProgress is what a daemon tells about an order of a roll-out.
+type RolloutProgress = rollout.Progress
 
 // LeafCapacity is what a daemon has learned about how much a leaf takes.
 type LeafCapacity struct {
@@ -56,7 +50,7 @@
 
 // empty reports whether there is nothing to tell.
 func (x Sections) empty() bool {
-	return len(x.Quota) == 0 && len(x.Rollouts) == 0 && len(x.Capacity) == 0
+	return len(x.Quota) == 0 && len(x.Rollouts) == 0 && len(x.Progress) == 0 && len(x.Capacity) == 0
 }
 
 // receivedSections are the sections of another daemon and the message that brought them.
@@ -81,6 +75,7 @@
 		return
 	}
 	d.sections = receivedSections{e.Sections, sender.Incarnation, sender.Counter, s.now}
+	s.mergeRollouts(d)
 }
 
 // currentSections calls use with the sections of each other daemon that have not lapsed, in
@@ -96,7 +91,8 @@
 
 // ownSections returns what this daemon tells the others.
 func (s *State) ownSections() Sections {
-	return Sections{}
+	evidence, progress := s.rolloutSections()
+	return Sections{Rollouts: evidence, Progress: progress}
 }
 
 // withActiveDaemons adds the addresses of the active daemons to those that get a message, if
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -79,6 +79,9 @@
 	// othersLoad is the reported load without the attempts of this daemon.
 	othersLoad   float64
 	othersLoadAt model.Time
+	// excluded means that the leaf gets no requests, or only sampled ones, because of its
+	// version.
+	excluded bool
 	// connectAfter is when the next connection may be tried.
 	connectAfter    model.Time
 	connectFailures int
@@ -123,6 +126,7 @@
 		s.lapsed--
 	}
 	srv.Server = entry
+	s.leafsChanged(srv.svc)
 	if entry.WarmUpLeft > 0 {
 		s.markCold(srv, entry.WarmUpLeft+coldMargin)
 	}
@@ -188,6 +192,7 @@
 	}
 	delete(s.servers, srv.ID)
 	srv.svc.removeServer(srv)
+	s.leafsChanged(srv.svc)
 	srv.Draining = true
 	s.emit(CloseIdle{Server: srv.ID})
 	s.emit(Log{Kind: LogServerRemoved, Subject: srv.ID, Detail: reason})
@@ -208,6 +213,9 @@
 		}
 	}
 	s.evacuated = next
+	for _, svc := range s.services {
+		s.leafsChanged(svc)
+	}
 }
 
 // markDomainCold treats the leafs of a domain that is no longer evacuated as cold: they
@@ -222,6 +230,11 @@
 
 // usable reports whether a leaf may get new work, apart from limits of its capacity.
 func (s *State) usable(srv *server) bool {
+	return s.mayWork(srv) && !srv.excluded
+}
+
+// mayWork reports whether a leaf is neither draining nor evacuated.
+func (s *State) mayWork(srv *server) bool {
 	return !srv.Draining && !s.evacuated[srv.FailureDomain]
 }
 
@@ -292,6 +305,7 @@
 		s.emit(Log{Kind: LogServerSuspected, Subject: srv.ID, Detail: e.Outcome.String()})
 	case OutcomeWrongServer:
 		srv.Draining = true
+		s.leafsChanged(srv.svc)
 		s.emit(CloseIdle{Server: srv.ID})
 		s.emit(Log{Kind: LogServerSuspected, Subject: srv.ID, Detail: e.Outcome.String()})
 		return
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -37,6 +38,8 @@
 	retryTokens float64
 	// queue holds parts that wait for a free connection or for a cold leaf.
 	queue []queuedPart
+	// rollout is nil if roll-outs are not followed.
+	rollout *rollout.State
 }
 
 // queuedPart is a part of a query that no leaf could take yet.
@@ -53,6 +56,7 @@
 			svc.config = s.config.Services[name]
 		}
 		svc.retryTokens = min(initialRetryTokens, s.maxRetryTokens())
+		svc.rollout = s.rolloutOf(name)
 		s.services[name] = svc
 	}
 	return svc
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -13,16 +13,19 @@
 type ViewRevisions struct {
 	Servers     uint64 `json:"servers"`
 	Evacuations uint64 `json:"evacuations"`
+	Rollouts    uint64 `json:"rollouts"`
 }
 
 // merge returns the greater revision of each kind.
 func (v ViewRevisions) merge(w ViewRevisions) ViewRevisions {
-	return ViewRevisions{Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations)}
+	return ViewRevisions{
+		Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations), Rollouts: max(v.Rollouts, w.Rollouts),
+	}
 }
 
 // exceeds reports whether v has a greater revision of any kind than w.
 func (v ViewRevisions) exceeds(w ViewRevisions) bool {
-	return v.Servers > w.Servers || v.Evacuations > w.Evacuations
+	return v.Servers > w.Servers || v.Evacuations > w.Evacuations || v.Rollouts > w.Rollouts
 }
 
 // viewAdvanced records the revisions of changes that this daemon has applied.
@@ -177,6 +180,7 @@
 	return cmp.Or(
 		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
+		cmp.Compare(a.View.Rollouts, b.View.Rollouts),
 	) > 0
 }
 
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -1,6 +1,10 @@
 package edge
 
-import "github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+import (
+	"slices"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+)
 
 // Revisions returns the revision of the store up to which each kind is known.
 func (f *Follower) Revisions() map[Kind]uint64 {
@@ -40,7 +44,7 @@
 // Adopt applies another daemon's view where it is newer than what this daemon knows.
 // askedSince are the revisions that the request for the view named.
 func (f *Follower) Adopt(v View, askedSince map[Kind]uint64) {
-	for _, kind := range Kinds {
+	for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 		remote, ok := v.Kinds[kind]
 		if !ok {
 			continue
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -61,6 +61,8 @@
 	RegisterAgain()
 	// RemoveDaemon deletes the entry of a daemon.
 	RemoveDaemon(name string)
+	// WriteVerdict writes the verdict on an order and then posts gateway.VerdictWritten.
+	WriteVerdict(e gateway.WriteVerdict)
 }
 
 // Config holds the parameters of a Runtime.
@@ -153,6 +155,8 @@
 		r.store.RegisterAgain()
 	case gateway.RemoveDaemon:
 		r.store.RemoveDaemon(e.Name)
+	case gateway.WriteVerdict:
+		r.store.WriteVerdict(e)
 	case gateway.Log:
 		r.log(e)
 	}
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -145,12 +145,12 @@
 }
 
 // listAtStart lists a kind when the daemon starts. The list may be seconds old, which
-// is cheap for the store while many daemons of a fleet start. The lists of leafs and
-// evacuations are confirmed afterwards, by a short watch or by the view of a daemon that
+// is cheap for the store while many daemons of a fleet start. The lists of leafs,
+// evacuations and roll-outs are confirmed afterwards, by a short watch or by the view of a daemon that
 // has done that: revisions of other daemons do not show that a list lacks a deletion,
 // since a list does not say what was deleted before it.
 func (f *Follower) listAtStart(ctx context.Context, kind Kind) error {
-	if kind == KindServers || kind == KindEvacuations {
+	if kind == KindServers || kind == KindEvacuations || kind == KindRollouts {
 		f.requestConfirmation(kind)
 	}
 	return f.listKind(ctx, kind, true)
@@ -326,7 +326,9 @@
 
 // Refresh queries the store again because another daemon knows of a change that this
 // daemon's watches did not deliver.
-func (f *Follower) Refresh() { f.interruptWatches(KindConfig, KindServers, KindEvacuations) }
+func (f *Follower) Refresh() {
+	f.interruptWatches(KindConfig, KindServers, KindEvacuations, KindRollouts)
+}
 
 func (f *Follower) listKind(ctx context.Context, kind Kind, mayBeStale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -67,7 +67,7 @@
 func TestGossipRoundTrip(t *testing.T) {
 	want := []gateway.DaemonEntry{
 		{Name: "a", Incarnation: 1, Counter: 2, CallerAddress: "1.1.1.1:1", PeerAddress: "1.1.1.1:2", FailureDomain: "d",
-			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
+			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3, Rollouts: 7}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
 		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
 	}
 	data, err := encodeGossip(want, gateway.Sections{})
@@ -126,6 +126,11 @@
 	return gateway.Server{ID: name, Service: "s", Slots: 1}, nil
 }
 
+// Rollout implements Decoder.
+func (anyDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
+	return gateway.RolloutOrder{Service: o.Name, Target: "v2", Duration: time.Second}, nil
+}
+
 // Guards against hop-by-hop header fields that reach a leaf, and against a method, path
 // or host that changes on the way to it.
 func FuzzCallerRequest(f *testing.F) {
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -20,7 +20,7 @@
 			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
 			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
-			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations,
+			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations, RolloutsRevision: e.View.Rollouts,
 			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
 		}
 	}
@@ -70,8 +70,8 @@
 	switch {
 	case e.Name == "" || len(e.Name) > maxNameBytes || len(e.FailureDomain) > maxNameBytes:
 		return fmt.Errorf("%w: name empty, or name or failure domain too long: %.40q, %.40q", ErrGossip, e.Name, e.FailureDomain)
-	case max(e.ConfigVersion, e.View.Servers, e.View.Evacuations) > maxExactNumber:
-		return fmt.Errorf("%w: %s: config version %d, servers revision %d or evacuations revision %d too large", ErrGossip, e.Name, e.ConfigVersion, e.View.Servers, e.View.Evacuations)
+	case max(e.ConfigVersion, e.View.Servers, e.View.Evacuations, e.View.Rollouts) > maxExactNumber:
+		return fmt.Errorf("%w: %s: config version %d, servers revision %d, evacuations revision %d or rollouts revision %d too large", ErrGossip, e.Name, e.ConfigVersion, e.View.Servers, e.View.Evacuations, e.View.Rollouts)
 	case !(e.Cores >= 0 && e.Cores <= maxDaemonCores):
 		return fmt.Errorf("%w: %s: %v cores out of range", ErrGossip, e.Name, e.Cores)
 	}
@@ -90,9 +90,9 @@
 // version tells only the greater of them, which then counts as both.
 func decodeRevisions(d *gossippb.Daemon) gateway.ViewRevisions {
 	if d.GetServersRevision() == 0 && d.GetEvacuationsRevision() == 0 {
-		return gateway.ViewRevisions{Servers: d.GetViewRevision(), Evacuations: d.GetViewRevision()}
+		return gateway.ViewRevisions{Servers: d.GetViewRevision(), Evacuations: d.GetViewRevision(), Rollouts: d.GetRolloutsRevision()}
 	}
-	return gateway.ViewRevisions{Servers: d.GetServersRevision(), Evacuations: d.GetEvacuationsRevision()}
+	return gateway.ViewRevisions{Servers: d.GetServersRevision(), Evacuations: d.GetEvacuationsRevision(), Rollouts: d.GetRolloutsRevision()}
 }
 
 func encodeState(s gateway.DaemonState) gossippb.State {
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -225,6 +225,14 @@
 	return s, json.Unmarshal(v, &s)
 }
 
+// Rollout implements Decoder.
+func (modelDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
+	var order gateway.RolloutOrder
+	err := json.Unmarshal(o.Value, &order)
+	order.Revision = o.Revision
+	return order, err
+}
+
 // inTouch returns the processes that have run for the contact time.
 func (f *modelFleet) inTouch() []*modelRun {
 	var out []*modelRun
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 // modelStore is a store with a history, whose lists may be old, whose watches may break
@@ -214,6 +216,27 @@
 	return nil
 }
 
+func (c modelStoreClient) WriteVerdict(_ context.Context, service string, revision uint64, target string, verdict rollout.Verdict) error {
+	if err := c.begin(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	objects, _ := c.stateAt(KindRollouts, time.Now())
+	c.mu.Unlock()
+	for _, o := range objects {
+		if o.Name == service && o.Revision == revision {
+			order, err := modelDecoder{}.Rollout(o)
+			if err != nil {
+				return err
+			}
+			order.Verdict = verdict
+			c.put(KindRollouts, service, order)
+			return nil
+		}
+	}
+	return ErrConflict
+}
+
 func (c modelStoreClient) Remove(_ context.Context, kind Kind, name string) error {
 	if err := c.begin(); err != nil {
 		return err
--- a/pkg/edge/panics.go
+++ b/pkg/edge/panics.go
@@ -82,6 +82,15 @@
 	return c, err
 }
 
+// Rollout implements Decoder.
+func (d panicSafeDecoder) Rollout(o Object) (order gateway.RolloutOrder, err error) {
+	err = catchPanic(func() (err error) {
+		order, err = d.Decoder.Rollout(o)
+		return err
+	})
+	return order, err
+}
+
 // Server implements Decoder.
 func (d panicSafeDecoder) Server(name string, value json.RawMessage) (s gateway.Server, err error) {
 	err = catchPanic(func() (err error) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -177,7 +178,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+viewPath, func(w http.ResponseWriter, r *http.Request) {
 		since := map[Kind]uint64{}
-		for _, kind := range Kinds {
+		for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 			// A missing or unreadable revision asks for the whole state.
 			if revision, err := strconv.ParseUint(r.URL.Query().Get(string(kind)), 10, 64); err == nil {
 				since[kind] = revision
--- a/pkg/edge/sections.go
+++ b/pkg/edge/sections.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
@@ -15,6 +17,11 @@
 	// maxSectionBytes bounds a section. With all three of them and 19 entries of daemons, a
 	// message stays below maxDatagramBytes.
 	maxSectionBytes = 3 << 10
+	// maxProgressBytes is the part of a section that the progress of roll-outs may take;
+	// that of one takes about 40 bytes.
+	maxProgressBytes = 1 << 10
+	// maxRolloutAge bounds the age of an order that is received.
+	maxRolloutAge = 24 * time.Hour
 	// maxLatencyBuckets bounds the buckets of a histogram that is received.
 	maxLatencyBuckets = 64
 )
@@ -23,13 +30,14 @@
 func encodeSections(x gateway.Sections) *gossippb.Sections {
 	out := &gossippb.Sections{}
 	if len(x.Quota) > 0 {
-		out.Quota = &gossippb.QuotaSection{Version: sectionVersion, Tenants: encodeList(x.Quota, encodeDemand)}
+		out.Quota = &gossippb.QuotaSection{Version: sectionVersion, Tenants: encodeList(x.Quota, encodeDemand, maxSectionBytes)}
 	}
-	if len(x.Rollouts) > 0 {
-		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Evidence: encodeList(x.Rollouts, encodeEvidence)}
+	if len(x.Rollouts)+len(x.Progress) > 0 {
+		progress := encodeList(x.Progress, encodeProgress, maxProgressBytes)
+		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Progress: progress, Evidence: encodeList(x.Rollouts, encodeEvidence, maxSectionBytes-maxProgressBytes)}
 	}
 	if len(x.Capacity) > 0 {
-		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, encodeCapacity)}
+		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, encodeCapacity, maxSectionBytes)}
 	}
 	if out.Quota == nil && out.Rollouts == nil && out.Capacity == nil {
 		return nil
@@ -37,15 +45,15 @@
 	return out
 }
 
-// encodeList encodes the first entries of a list that fit into a section.
-func encodeList[T any, M proto.Message](list []T, encode func(T) M) []M {
+// encodeList encodes the first entries of a list that fit into a number of bytes.
+func encodeList[T any, M proto.Message](list []T, encode func(T) M, limit int) []M {
 	var out []M
 	size := 0
 	for _, x := range list {
 		m := encode(x)
 		// An entry has a tag of one byte and a length of up to three.
 		size += proto.Size(m) + 4
-		if size > maxSectionBytes {
+		if size > limit {
 			break
 		}
 		out = append(out, m)
@@ -60,7 +68,13 @@
 func encodeEvidence(e gateway.VersionEvidence) *gossippb.VersionEvidence {
 	return &gossippb.VersionEvidence{
 		Service: e.Service, Order: e.Order, Route: e.Route, Target: e.Target, Attempts: e.Attempts, BadAnswers: e.BadAnswers,
-		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs,
+		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs, Leaf: e.Leaf,
+	}
+}
+
+func encodeProgress(p gateway.RolloutProgress) *gossippb.RolloutProgress {
+	return &gossippb.RolloutProgress{
+		Service: p.Service, Order: p.Order, Acting: gossippb.RolloutVerdict(p.Acting), AgeMs: uint64(max(0, p.Age.Milliseconds())), Open: p.Open,
 	}
 }
 
@@ -81,10 +95,17 @@
 	}
 	if r := m.GetRollouts(); r.GetVersion() == sectionVersion {
 		for _, e := range r.GetEvidence() {
-			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
+			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLeaf()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
 				out.Rollouts = append(out.Rollouts, decodeEvidence(e))
 			}
 		}
+		for _, p := range r.GetProgress() {
+			if isName(p.GetService()) && p.GetAgeMs() <= uint64(maxRolloutAge.Milliseconds()) && p.GetActing() >= 0 && p.GetActing() <= gossippb.RolloutVerdict_ROLLOUT_VERDICT_ROLLED_BACK {
+				out.Progress = append(out.Progress, gateway.RolloutProgress{
+					Service: p.GetService(), Order: p.GetOrder(), Acting: rollout.Verdict(p.GetActing()), Age: time.Duration(p.GetAgeMs()) * time.Millisecond, Open: p.GetOpen(),
+				})
+			}
+		}
 	}
 	if c := m.GetCapacity(); c.GetVersion() == sectionVersion {
 		for _, l := range c.GetLeafs() {
@@ -99,7 +120,7 @@
 func decodeEvidence(e *gossippb.VersionEvidence) gateway.VersionEvidence {
 	return gateway.VersionEvidence{
 		Service: e.GetService(), Order: e.GetOrder(), Route: e.GetRoute(), Target: e.GetTarget(), Attempts: e.GetAttempts(), BadAnswers: e.GetBadAnswers(),
-		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(),
+		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(), Leaf: e.GetLeaf(),
 	}
 }
 
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 var (
@@ -41,9 +42,11 @@
 	KindServers     Kind = "servers"
 	KindEvacuations Kind = "evacuations"
 	KindDaemons     Kind = "daemons"
+	// KindRollouts is followed only if the settings bound the exposure of new versions.
+	KindRollouts Kind = "rollouts"
 )
 
-// Kinds are all kinds that daemons follow.
+// Kinds are all kinds that all daemons follow.
 var Kinds = []Kind{KindConfig, KindServers, KindEvacuations, KindDaemons}
 
 // Store is the platform's store.
@@ -62,10 +65,16 @@
 	Replace(ctx context.Context, kind Kind, o Object, value any) error
 	// Remove deletes an object.
 	Remove(ctx context.Context, kind Kind, name string) error
+	// WriteVerdict writes the verdict on the order of a service if the order's object still
+	// has a revision. Otherwise it returns ErrConflict. After another error the write may
+	// have taken effect, or may do so later.
+	WriteVerdict(ctx context.Context, service string, revision uint64, target string, verdict rollout.Verdict) error
 }
 
 // Decoder decodes the values of the store's objects.
 type Decoder interface {
 	Config(value json.RawMessage) (*gateway.Config, error)
 	Server(name string, value json.RawMessage) (gateway.Server, error)
+	// Rollout decodes an object of KindRollouts.
+	Rollout(o Object) (gateway.RolloutOrder, error)
 }
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 // fakeStore holds one list of objects for all kinds and fails on request.
@@ -122,8 +123,18 @@
 // Remove implements Store.
 func (s *fakeStore) Remove(context.Context, Kind, string) error { return nil }
 
+// WriteVerdict implements Store.
+func (s *fakeStore) WriteVerdict(context.Context, string, uint64, string, rollout.Verdict) error {
+	return nil
+}
+
 type fakeDecoder struct{}
 
+// Rollout implements Decoder.
+func (fakeDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
+	return gateway.RolloutOrder{Service: o.Name}, nil
+}
+
 // Config implements Decoder.
 func (fakeDecoder) Config(v json.RawMessage) (*gateway.Config, error) {
 	var c gateway.Config
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -41,6 +41,9 @@
 		}
 		f.post(e)
 		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Evacuations: known.Changed}})
+	case KindRollouts:
+		f.post(f.decodeRollouts(known.Objects))
+		f.post(gateway.ViewAdvanced{Revisions: gateway.ViewRevisions{Rollouts: known.Changed}})
 	case KindDaemons:
 		f.post(f.decodeDaemons(known.Objects))
 	}
--- a/pkg/edged/admin.go
+++ b/pkg/edged/admin.go
@@ -16,6 +16,8 @@
 	RoutesPath  = "/routes"
 	LeafsPath   = "/leafs"
 	ExplainPath = "/explain"
+	// RolloutsPath serves the orders of roll-outs.
+	RolloutsPath = "/rollouts"
 )
 
 // StatusReply is the body of a reply to StatusPath.
@@ -51,6 +53,7 @@
 	mux.HandleFunc("GET "+LeafsPath, d.inspectHandler(func(s *gateway.State, r *http.Request) any {
 		return s.Leafs(r.URL.Query().Get("service"))
 	}))
+	mux.HandleFunc("GET "+RolloutsPath, d.inspectHandler(func(s *gateway.State, _ *http.Request) any { return s.Rollouts() }))
 	mux.HandleFunc("GET "+ExplainPath, d.inspectHandler(func(s *gateway.State, r *http.Request) any {
 		return s.Explain(r.URL.Query().Get("host"), r.URL.Query().Get("path"))
 	}))
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -141,6 +141,7 @@
 	core := gateway.New(gateway.Options{
 		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
 		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
+		Rollout: s.rolloutLimits(),
 	})
 	d.registry = prometheus.NewRegistry()
 	m := NewMetrics(d.registry)
@@ -205,7 +206,7 @@
 // addFollower adds the actors that follow the store and keep this daemon
 // registered in it.
 func (d *daemon) addFollower(ctx context.Context, cancel context.CancelFunc, g *run.Group) {
-	for _, kind := range edge.Kinds {
+	for _, kind := range d.settings.followedKinds() {
 		g.Add(func() error { return d.follower.Follow(ctx, kind) }, func(error) { cancel() })
 	}
 	g.Add(func() error {
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -39,6 +39,12 @@
 	gateway.LogStoreLost:       logevent.EdgeStoreLost,
 	gateway.LogStoreRegained:   logevent.EdgeStoreRegained,
 	gateway.LogStopStarted:     logevent.EdgeStopStarted,
+
+	gateway.LogRolloutStarted:     logevent.EdgeRolloutStarted,
+	gateway.LogRolloutWithdrawn:   logevent.EdgeRolloutWithdrawn,
+	gateway.LogRolloutActing:      logevent.EdgeRolloutActing,
+	gateway.LogRolloutVerdict:     logevent.EdgeRolloutVerdict,
+	gateway.LogRolloutWriteFailed: logevent.EdgeRolloutWriteFailed,
 }
 
 // reducerLog writes the reducer's log entries as log events and counts requests in
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -179,6 +179,9 @@
 	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
 	gauge("throttle", "Greatest probability of all routes with which a request is refused at its arrival because leafs are overloaded.", func(s gateway.Status) float64 { return s.Throttle })
 	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
+	gauge("running_rollouts", "Orders of roll-outs without a verdict.", func(s gateway.Status) float64 { return float64(s.RunningRollouts) })
+	gauge("excluded_leafs", "Leafs that get no requests, or only sampled ones, because of their version.", func(s gateway.Status) float64 { return float64(s.ExcludedLeafs) })
+	gauge("exposed_attempts", "Attempts since the start at leafs of versions whose roll-out had no verdict.", func(s gateway.Status) float64 { return float64(s.ExposedAttempts) })
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "pistachiousher_edge_log_lines_dropped_total", Help: "Log lines dropped because the output was slow."},
 		func() float64 { return float64(dropped()) },
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -32,6 +32,12 @@
 	EdgeRegistrationDone ID = 1745
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
+
+	EdgeRolloutStarted     ID = 1760
+	EdgeRolloutWithdrawn   ID = 1761
+	EdgeRolloutActing      ID = 1762
+	EdgeRolloutVerdict     ID = 1763
+	EdgeRolloutWriteFailed ID = 1764
 )
 
 var edgeEvents = []Def{
@@ -63,4 +69,9 @@
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry was written to the store."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
+	{EdgeRolloutStarted, "edge_rollout_started", log.InfoLevel, "An order asks for the traffic of the service in subject to be moved to the version in detail within age_ms."},
+	{EdgeRolloutWithdrawn, "edge_rollout_withdrawn", log.InfoLevel, "The order for the version in detail is gone or replaced. Without a verdict its leafs are used only if no others are left."},
+	{EdgeRolloutActing, "edge_rollout_acting", log.WarnLevel, "The daemon acts on a verdict that the store does not have yet: on rolled_back it sends nothing to the version, on completed it sends all requests there."},
+	{EdgeRolloutVerdict, "edge_rollout_verdict", log.InfoLevel, "The store has the verdict on the version of the service in subject."},
+	{EdgeRolloutWriteFailed, "edge_rollout_write_failed", log.WarnLevel, "A verdict could not be written, or the write may have taken effect; the order is read and the write repeated."},
 }
