--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -16,6 +16,7 @@
 	Era         uint64 `json:"era,omitempty"`
 	Servers     uint64 `json:"servers"`
 	Evacuations uint64 `json:"evacuations"`
+	Rollouts    uint64 `json:"rollouts"`
 }
 
 // merge returns the greater revision of each kind, of the later era.
@@ -26,7 +27,9 @@
 		}
 		return w
 	}
-	return ViewRevisions{Era: v.Era, Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations)}
+	return ViewRevisions{
+		Era: v.Era, Servers: max(v.Servers, w.Servers), Evacuations: max(v.Evacuations, w.Evacuations), Rollouts: max(v.Rollouts, w.Rollouts),
+	}
 }
 
 // exceeds reports whether v is of a later era than w, or of the same one with a greater
@@ -35,7 +38,7 @@
 	if v.Era != w.Era {
 		return v.Era > w.Era
 	}
-	return v.Servers > w.Servers || v.Evacuations > w.Evacuations
+	return v.Servers > w.Servers || v.Evacuations > w.Evacuations || v.Rollouts > w.Rollouts
 }
 
 // viewAdvanced records the revisions of changes that this daemon has applied.
@@ -231,6 +234,7 @@
 		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
 		cmp.Compare(a.View.Era, b.View.Era),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
+		cmp.Compare(a.View.Rollouts, b.View.Rollouts),
 	) > 0
 }
 
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 // modelStore is a store with a history, whose lists may be old, whose watches may break
@@ -256,6 +258,30 @@
 	return nil
 }
 
+func (c modelStoreClient) WriteVerdict(_ context.Context, service string, at Position, target string, verdict rollout.Verdict) error {
+	if err := c.begin(); err != nil {
+		return err
+	}
+	if at.Era != c.Era() {
+		return ErrEraChanged
+	}
+	c.mu.Lock()
+	objects, _ := c.stateAt(KindRollouts, time.Now())
+	c.mu.Unlock()
+	for _, o := range objects {
+		if o.Name == service && o.Revision == at.Revision {
+			order, err := modelDecoder{}.Rollout(o)
+			if err != nil {
+				return err
+			}
+			order.Verdict = verdict
+			c.put(KindRollouts, service, order)
+			return nil
+		}
+	}
+	return ErrConflict
+}
+
 func (c modelStoreClient) Remove(_ context.Context, kind Kind, name string) error {
 	if err := c.begin(); err != nil {
 		return err
--- a/pkg/edge/retained.go
+++ b/pkg/edge/retained.go
@@ -277,7 +277,7 @@
 	previous := f.era
 	f.era = max(f.era, era)
 	var outdated []Kind
-	for _, kind := range Kinds {
+	for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 		if known, ok := f.view[kind]; ok && known.Era < f.era {
 			outdated = append(outdated, kind)
 		}
@@ -304,14 +304,19 @@
 	for _, other := range Kinds {
 		complete = complete && f.view[other].Era == known.Era
 	}
+	orders, followed := f.view[KindRollouts]
+	complete = complete && (!followed || orders.Era == known.Era)
 	if known.Era > 0 || kind == KindServers {
 		revisions.Servers = f.view[KindServers].Changed
 	}
 	if known.Era > 0 || kind == KindEvacuations {
 		revisions.Evacuations = f.view[KindEvacuations].Changed
 	}
+	if known.Era > 0 || kind == KindRollouts {
+		revisions.Rollouts = orders.Changed
+	}
 	f.mu.Unlock()
-	if known.Era == 0 && (kind == KindServers || kind == KindEvacuations) || known.Era > 0 && complete {
+	if known.Era == 0 && (kind == KindServers || kind == KindEvacuations || kind == KindRollouts) || known.Era > 0 && complete {
 		f.post(gateway.ViewAdvanced{Revisions: revisions})
 	}
 }
