--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -33,6 +33,8 @@
 	IsSeed bool
 	// Seeds are peer addresses that get this daemon's gossip until it knows the leafs.
 	Seeds []string
+	// Rollout bounds the exposure of new versions; nil if roll-outs are not followed.
+	Rollout *RolloutLimits
 	// Seed initialises the random number generator, so that a run can be repeated.
 	Seed uint64
 }
@@ -48,11 +50,14 @@
 	servers   map[string]*server
 	services  map[string]*service
 	evacuated map[string]bool
-	routes    map[string]*routeState
-	queries   map[QueryID]*query
-	calls     map[CallID]*call
-	lastCall  CallID
-	timers    timerHeap
+	// heldEvacuations are the evacuated failure domains whose evacuation the store no
+	// longer shows since it came back from a copy.
+	heldEvacuations []string
+	routes          map[string]*routeState
+	queries         map[QueryID]*query
+	calls           map[CallID]*call
+	lastCall        CallID
+	timers          timerHeap
 
 	daemons map[string]*daemon
 	members memberState
@@ -65,6 +70,8 @@
 	viewConfirmedAt model.Time
 	storeDownSince  model.Time
 	storeDown       bool
+	// storeEra is the latest known era of the store; 0 if it names none.
+	storeEra uint64
 	// storeFailedAt is when a call to the store last failed; 0 if none did.
 	storeFailedAt model.Time
 	stopping      bool
@@ -77,6 +84,7 @@
 	lapsed int
 	// waitingServices are the services with queued parts.
 	waitingServices []*service
+	rollouts        rolloutState
 }
 
 // New returns a reducer that knows no configuration and no leafs yet.
@@ -92,6 +100,7 @@
 		calls:     map[CallID]*call{},
 		daemons:   map[string]*daemon{},
 		quota:     quota.New(o.Self.Name, o.Quota, 0),
+		rollouts:  newRolloutState(),
 	}
 }
 
@@ -119,6 +128,12 @@
 		s.serverRemoved(e)
 	case EvacuationsListed:
 		s.evacuationsListed(e)
+	case StoreEraSeen:
+		s.storeEraSeen(e)
+	case RolloutsListed:
+		s.rolloutsListed(e)
+	case VerdictWritten:
+		s.verdictWritten(e)
 	case ViewAdvanced:
 		s.viewAdvanced(e)
 	case ViewFetched:
@@ -147,8 +162,9 @@
 // caller that recovered from a panic in Step.
 func (s *State) EffectsSoFar() []Effect { return s.effects }
 
-// runDue handles query timers, lapsed leafs, queued parts and gossip that are due.
+// runDue handles roll-outs, query timers, lapsed leafs, queued parts and gossip that are due.
 func (s *State) runDue() {
+	s.rolloutsDue()
 	s.handleDueQueries()
 	s.dropLapsed()
 	s.scanQueues()
@@ -165,7 +181,7 @@
 	if len(s.waitingServices) > 0 {
 		wake = min(wake, s.now.Add(queueScanInterval))
 	}
-	return wake
+	return min(wake, s.rollouts.nextAt)
 }
 
 // Ready reports whether the daemon may receive requests.
@@ -248,18 +264,22 @@
 type Status struct {
 	ConfigVersion uint64
 	// ViewAge is for how long the list of leafs has not been confirmed.
-	ViewAge      time.Duration
-	View         ViewRevisions
-	Ready        bool
-	Watcher      bool
-	StoreDown    bool
-	Leafs        int
-	ColdLeafs    int
-	SuspectLeafs int
-	Daemons      int
-	OpenRequests int
-	OpenCalls    int
-	Queued       int
+	ViewAge   time.Duration
+	View      ViewRevisions
+	Ready     bool
+	Watcher   bool
+	StoreDown bool
+	// StoreEra is the latest known era of the store, HeldEvacuations the number of
+	// evacuations in force that it no longer shows.
+	StoreEra        uint64
+	HeldEvacuations int
+	Leafs           int
+	ColdLeafs       int
+	SuspectLeafs    int
+	Daemons         int
+	OpenRequests    int
+	OpenCalls       int
+	Queued          int
 	// LeastTokens is the smallest retry budget of any service, in attempts.
 	LeastTokens float64
 	// Throttle is the highest probability of any route with which a request is refused
@@ -268,6 +288,11 @@
 	// Share is this daemon's share of the quotas that all daemons divide among
 	// themselves.
 	Share float64
+	// RunningRollouts are the orders without a verdict in the store, ExcludedLeafs those
+	// that get no requests, or only sampled ones, because of their version.
+	RunningRollouts, ExcludedLeafs int
+	// ExposedAttempts counts the attempts at leafs of target versions during roll-outs.
+	ExposedAttempts uint64
 }
 
 // Status returns the values for metrics.
@@ -275,7 +300,7 @@
 	_, daemons := s.StoreRank()
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
-		Watcher: s.members.watcher, StoreDown: s.storeDown, Leafs: len(s.servers), Daemons: daemons,
+		Watcher: s.members.watcher, StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
 	for _, srv := range s.servers {
@@ -285,7 +310,11 @@
 		if srv.relativeLatency >= suspectRelativeLatency {
 			out.SuspectLeafs++
 		}
+		if srv.excluded {
+			out.ExcludedLeafs++
+		}
 	}
+	out.RunningRollouts, out.ExposedAttempts = s.runningRollouts(), s.rollouts.exposed
 	for _, rs := range s.routes {
 		out.Throttle = max(out.Throttle, rs.throttle.lastProbability())
 	}
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -67,7 +67,7 @@
 func TestGossipRoundTrip(t *testing.T) {
 	want := []gateway.DaemonEntry{
 		{Name: "a", Incarnation: 1, Counter: 2, CallerAddress: "1.1.1.1:1", PeerAddress: "1.1.1.1:2", FailureDomain: "d",
-			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
+			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3, Rollouts: 7}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
 		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
 	}
 	data, err := encodeGossip(want, gateway.Sections{})
@@ -95,21 +95,21 @@
 			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {},
 			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 		})
-		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, 5), sourceStore, false)
-		have := follower.Revisions()
+		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, Position{Revision: 5}), sourceStore, false)
+		have := follower.Positions()
 		follower.Adopt(view, have)
 		known := follower.View(nil).Kinds[KindServers]
 		remote, inView := view.Kinds[KindServers]
 		_, deleted := remote.Deleted["i-1"]
-		replaced := inView && remote.Revision > have[KindServers] && (remote.Since == 0 || remote.Since > have[KindServers])
+		replaced := inView && remote.position().compare(have[KindServers]) > 0 && (remote.Era != have[KindServers].Era || remote.Since == 0 || remote.Since > have[KindServers].Revision)
 		if _, ok := known.Objects["i-1"]; !ok && !deleted && !replaced {
 			t.Fatalf("i-1 is lost; view %+v", view)
 		}
-		if known.Revision < have[KindServers] {
+		if known.position().compare(have[KindServers]) < 0 {
 			t.Fatalf("revision went back to %d", known.Revision)
 		}
 		// What was adopted can be sent to other daemons.
-		if _, err := json.Marshal(follower.View(map[Kind]uint64{KindServers: math.MaxUint64})); err != nil {
+		if _, err := json.Marshal(follower.View(map[Kind]Position{KindServers: {Revision: math.MaxUint64}})); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -129,6 +129,11 @@
 	return gateway.Server{ID: name, Service: "s", Slots: 1}, nil
 }
 
+// Rollout implements Decoder.
+func (anyDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
+	return gateway.RolloutOrder{Service: o.Name, Target: "v2", Duration: time.Second}, nil
+}
+
 // Guards against hop-by-hop header fields that reach a leaf, and against a method, path
 // or host that changes on the way to it.
 func FuzzCallerRequest(f *testing.F) {
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 // modelStore is a store with a history, whose lists may be old, whose watches may break
@@ -13,7 +16,9 @@
 type modelStore struct {
 	mu       sync.Mutex
 	revision uint64
-	history  []modelChange
+	// era rises with each restore.
+	era     uint64
+	history []modelChange
 	// kept is the revision from which on changes can be watched.
 	kept uint64
 	// staleAge returns the age of the copy that answers a daemon's list which may be stale.
@@ -78,6 +83,26 @@
 	s.kept = s.revision
 }
 
+// restore makes the store come back from a copy that is age old: later writes are gone, and
+// their revisions are assigned again. The running watches break off silently if they are
+// muted, too.
+func (s *modelStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-age)
+	for len(s.history) > 0 && s.history[len(s.history)-1].at.After(at) {
+		s.history = s.history[:len(s.history)-1]
+	}
+	s.revision = 100
+	if n := len(s.history); n > 0 {
+		s.revision = s.history[n-1].Object.Revision
+	}
+	s.kept = min(s.kept, s.revision)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // setStaleAge sets the age of the copies that answer lists which may be stale.
 func (s *modelStore) setStaleAge(age func(daemon string) time.Duration) {
 	s.mu.Lock()
@@ -121,9 +146,15 @@
 type modelStoreClient struct {
 	*modelStore
 	daemon string
+	// seen is the latest era that an answer has named.
+	seen *atomic.Uint64
+}
+
+func (s *modelStore) client(daemon string) modelStoreClient {
+	return modelStoreClient{s, daemon, new(atomic.Uint64)}
 }
 
-// begin counts a call and lets its time pass.
+// begin counts a call and lets its time pass. The answer, whatever it is, names the era.
 func (c modelStoreClient) begin() error {
 	time.Sleep(modelCallTime)
 	c.mu.Lock()
@@ -132,12 +163,16 @@
 	if c.isDown(c.daemon) {
 		return ErrStore
 	}
+	c.seen.Store(c.era)
 	return nil
 }
 
-func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error) {
+// Era implements Store.
+func (c modelStoreClient) Era() uint64 { return c.seen.Load() }
+
+func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,12 +181,15 @@
 		at = at.Add(-c.staleAge(c.daemon))
 	}
 	objects, revision := c.stateAt(kind, at)
-	return objects, revision, nil
+	for i := range objects {
+		objects[i].Era = c.era
+	}
+	return objects, Position{c.era, revision}, nil
 }
 
-func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error) {
+func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error) {
 	if err := c.begin(); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	end := time.After(wait)
 	c.mu.Lock()
@@ -162,30 +200,32 @@
 		if c.muted != begun {
 			c.mu.Unlock()
 			<-ctx.Done()
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		}
-		if since < c.kept {
+		if since.Revision < c.kept || since.Revision > c.revision {
 			c.mu.Unlock()
-			return nil, 0, ErrHistoryGone
+			return nil, Position{}, ErrHistoryGone
 		}
 		var out []Change
-		first, _ := slices.BinarySearchFunc(c.history, since+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
+		first, _ := slices.BinarySearchFunc(c.history, since.Revision+1, func(m modelChange, r uint64) int { return int(m.Object.Revision) - int(r) })
 		for _, m := range c.history[first:] {
 			if m.kind == kind {
+				m.Object.Era = c.era
 				out = append(out, m.Change)
 			}
 		}
-		revision, changed := c.revision, c.changed
+		at, changed := Position{c.era, c.revision}, c.changed
+		c.seen.Store(c.era)
 		c.mu.Unlock()
 		if len(out) > 0 || ended {
-			return out, revision, nil
+			return out, at, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
 			ended = true
 		case <-ctx.Done():
-			return nil, 0, ErrStore
+			return nil, Position{}, ErrStore
 		}
 	}
 }
@@ -199,21 +239,49 @@
 	c.mu.Unlock()
 	for _, o := range objects {
 		if o.Name == name {
+			o.Era = c.Era()
 			return o, ErrConflict
 		}
 	}
 	c.put(kind, name, value)
-	return Object{Name: name}, nil
+	return Object{Name: name, Era: c.Era()}, nil
 }
 
 func (c modelStoreClient) Replace(_ context.Context, kind Kind, o Object, value any) error {
 	if err := c.begin(); err != nil {
 		return err
 	}
+	if o.Era != c.Era() {
+		return ErrEraChanged
+	}
 	c.put(kind, o.Name, value)
 	return nil
 }
 
+func (c modelStoreClient) WriteVerdict(_ context.Context, service string, at Position, target string, verdict rollout.Verdict) error {
+	if err := c.begin(); err != nil {
+		return err
+	}
+	if at.Era != c.Era() {
+		return ErrEraChanged
+	}
+	c.mu.Lock()
+	objects, _ := c.stateAt(KindRollouts, time.Now())
+	c.mu.Unlock()
+	for _, o := range objects {
+		if o.Name == service && o.Revision == at.Revision {
+			order, err := modelDecoder{}.Rollout(o)
+			if err != nil {
+				return err
+			}
+			order.Verdict = verdict
+			c.put(KindRollouts, service, order)
+			return nil
+		}
+	}
+	return ErrConflict
+}
+
 func (c modelStoreClient) Remove(_ context.Context, kind Kind, name string) error {
 	if err := c.begin(); err != nil {
 		return err
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -10,7 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,6 +29,8 @@
 	maxReplyHeaderBytes = 16 << 10
 	// viewPath is where daemons serve their view to each other.
 	viewPath = "/view"
+	// retainedParam asks for the retained objects with a view.
+	retainedParam = "retained"
 )
 
 // Peers exchanges gossip over UDP and views over HTTP with the other daemons, both at
@@ -112,8 +114,8 @@
 func (p *Peers) FetchView(e gateway.FetchView) {
 	go func() {
 		err := catchPanic(func() error {
-			since := p.follower.Revisions()
-			view, err := p.requestView(e.From, since)
+			since := p.follower.Positions()
+			view, err := p.requestView(e.From, since, e.Retained)
 			if err == nil {
 				p.follower.Adopt(view, since)
 			}
@@ -126,11 +128,15 @@
 	}()
 }
 
-// requestView fetches what another daemon knows beyond the given revisions.
-func (p *Peers) requestView(from string, since map[Kind]uint64) (View, error) {
+// requestView fetches what another daemon knows beyond the given positions, if asked with
+// the objects that it has retained.
+func (p *Peers) requestView(from string, since map[Kind]Position, retained bool) (View, error) {
 	query := url.Values{}
-	for kind, revision := range since {
-		query.Set(string(kind), strconv.FormatUint(revision, 10))
+	if retained {
+		query.Set(retainedParam, "1")
+	}
+	for kind, position := range since {
+		query.Set(string(kind), position.String())
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -176,16 +182,20 @@
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+viewPath, func(w http.ResponseWriter, r *http.Request) {
-		since := map[Kind]uint64{}
-		for _, kind := range Kinds {
-			// A missing or unreadable revision asks for the whole state.
-			if revision, err := strconv.ParseUint(r.URL.Query().Get(string(kind)), 10, 64); err == nil {
-				since[kind] = revision
+		since := map[Kind]Position{}
+		for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
+			// A missing or unreadable position asks for the whole state.
+			if position, err := parsePosition(r.URL.Query().Get(string(kind))); err == nil {
+				since[kind] = position
 			}
 		}
 		w.Header().Set("Content-Type", "application/json")
 		counted := &countingWriter{ResponseWriter: w, count: &p.traffic.ViewsSent}
-		if err := writeView(counted, r, p.follower.View(since)); err != nil {
+		view := p.follower.View(since)
+		if r.URL.Query().Has(retainedParam) {
+			view.Retained = p.follower.RetainedObjects()
+		}
+		if err := writeView(counted, r, view); err != nil {
 			p.onError(r.RemoteAddr, err)
 		}
 	})
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -38,11 +38,19 @@
 	gateway.LogDaemonSilent:    logevent.EdgeDaemonSilent,
 	gateway.LogStoreLost:       logevent.EdgeStoreLost,
 	gateway.LogStoreRegained:   logevent.EdgeStoreRegained,
+	gateway.LogStoreCopied:     logevent.EdgeStoreCopied,
+	gateway.LogEvacuationHeld:  logevent.EdgeEvacuationHeld,
 	gateway.LogStopStarted:     logevent.EdgeStopStarted,
 	gateway.LogTenantsChanged:  logevent.EdgeTenantsChanged,
 	gateway.LogKeysRevoked:     logevent.EdgeKeysRevoked,
 	gateway.LogQuotaExceeded:   logevent.EdgeQuotaExceeded,
 	gateway.LogQuotaHolding:    logevent.EdgeQuotaHolding,
+
+	gateway.LogRolloutStarted:     logevent.EdgeRolloutStarted,
+	gateway.LogRolloutWithdrawn:   logevent.EdgeRolloutWithdrawn,
+	gateway.LogRolloutActing:      logevent.EdgeRolloutActing,
+	gateway.LogRolloutVerdict:     logevent.EdgeRolloutVerdict,
+	gateway.LogRolloutWriteFailed: logevent.EdgeRolloutWriteFailed,
 }
 
 // reducerLog writes the reducer's log entries as log events and counts requests in
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -169,6 +169,8 @@
 	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return toFloat(s.Ready) })
 	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return toFloat(s.Watcher) })
 	gauge("store_down", "1 if calls to the store fail.", func(s gateway.Status) float64 { return toFloat(s.StoreDown) })
+	gauge("store_era", "Era of the store; 0 if it names none. It rises when the store comes back from a copy.", func(s gateway.Status) float64 { return float64(s.StoreEra) })
+	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
 	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
 	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
 	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
@@ -179,6 +181,9 @@
 	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
 	gauge("throttle", "Greatest probability of all routes with which a request is refused at its arrival because leafs are overloaded.", func(s gateway.Status) float64 { return s.Throttle })
 	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
+	gauge("running_rollouts", "Orders of roll-outs without a verdict.", func(s gateway.Status) float64 { return float64(s.RunningRollouts) })
+	gauge("excluded_leafs", "Leafs that get no requests, or only sampled ones, because of their version.", func(s gateway.Status) float64 { return float64(s.ExcludedLeafs) })
+	gauge("exposed_attempts", "Attempts since the start at leafs of versions whose roll-out had no verdict.", func(s gateway.Status) float64 { return float64(s.ExposedAttempts) })
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "pistachiousher_edge_log_lines_dropped_total", Help: "Log lines dropped because the output was slow."},
 		func() float64 { return float64(dropped()) },
