Tenants and quotas: metrics, pistachiousher edge tenants, fewer bytes of gossip

Only daemons that a message goes to anyway, or that need its sections, get them; an answer to a daemon that asks for a share goes to it alone. The test of waiting requests relied on the order of a map.

--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -22,6 +22,7 @@
 		{Name: "status", Synopsis: "show the state of an edge daemon and the daemons that it knows", New: func() Action { return new(edgeStatusAction) }},
 		{Name: "routes", Synopsis: "show the configuration in force at an edge daemon", New: func() Action { return new(edgeRoutesAction) }},
 		{Name: "leafs", Args: "[SERVICE]", Synopsis: "show what an edge daemon knows of leafs", New: func() Action { return new(edgeLeafsAction) }},
+		{Name: "tenants", Synopsis: "show the tenants and the use of their quotas at an edge daemon", New: func() Action { return new(edgeTenantsAction) }},
 		{Name: "rollouts", Synopsis: "show the orders of roll-outs that an edge daemon knows", New: func() Action { return new(edgeRolloutsAction) }},
 		{Name: "explain", Args: "HOST PATH", Synopsis: "show where a request would go now", New: func() Action { return new(edgeExplainAction) }},
 		{Name: "follow", Args: "REQUEST-ID [FILE...]", Synopsis: "find a request in logs, from files or standard input", New: func() Action { return new(edgeFollowAction) }},
--- a/pkg/cli/edge_test.go
+++ b/pkg/cli/edge_test.go
@@ -32,7 +32,7 @@
 			{Name: "one", Host: "h.example", PathPrefix: "/o/", Targets: []gateway.Target{{Service: "x", Weight: 1}}},
 		},
 		Services: map[string]gateway.ServiceConfig{"x": {MaxConnections: 5}, "y": {MaxConnections: 5}},
-	})
+	}, standin.Tenant{Name: "limited", Keys: []string{"secret-1", "secret-2"}, RatePerSecond: 2, Burst: 3}, standin.Tenant{Name: "free"})
 	store.PutServer(gateway.Server{ID: "i-1", Service: "x", Address: "127.0.0.1:9", FailureDomain: "a", Slots: 2})
 	server := httptest.NewServer(store)
 	ts.Defer(server.Close)
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -288,6 +288,10 @@
 	// Share is this daemon's share of the quotas that all daemons divide among
 	// themselves.
 	Share float64
+	// Tenants is the number of tenants in the configuration. QuotaHolders is the number of
+	// daemons that hold shares of quotas, QuotaHolder that this one does.
+	Tenants, QuotaHolders int
+	QuotaHolder           bool
 	// RunningRollouts are the orders without a verdict in the store, ExcludedLeafs those
 	// that get no requests, or only sampled ones, because of their version.
 	RunningRollouts, ExcludedLeafs int
@@ -314,6 +318,11 @@
 			out.ExcludedLeafs++
 		}
 	}
+	if s.config != nil {
+		out.Tenants = len(s.config.Tenants)
+	}
+	holding := s.quota.Holding()
+	out.QuotaHolders, out.QuotaHolder = holding.Holders, holding.Index >= 0
 	out.RunningRollouts, out.ExposedAttempts = s.runningRollouts(), s.rollouts.exposed
 	for _, rs := range s.routes {
 		out.Throttle = max(out.Throttle, rs.throttle.lastProbability())
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -108,7 +108,7 @@
 	case m.selfGossipPending && s.now >= earliest:
 		s.gossipSelf()
 		return
-	case s.quotaEnabled() && s.quota.Urgent() && s.now >= m.lastGossipAt.Add(quotaGossipInterval):
+	case s.quotaUrgent() && s.now >= m.lastGossipAt.Add(quotaGossipInterval):
 		s.gossipQuota()
 		return
 	default:
@@ -129,8 +129,7 @@
 	s.fetchView()
 	s.confirmView()
 	s.refreshView()
-	sections := s.ownSections()
-	s.emitGossip(s.withActiveDaemons(s.gossipTargets(), sections), s.gossipEntries(), sections)
+	s.emitGossip(s.gossipTargets(), s.gossipEntries(), s.ownSections())
 }
 
 // nextGossipTime returns when the next message is due.
@@ -139,7 +138,7 @@
 	switch {
 	case m.fullGossipPending || m.selfGossipPending:
 		return min(m.nextGossipAt, m.lastGossipAt.Add(minGossipInterval))
-	case s.quotaEnabled() && s.quota.Urgent():
+	case s.quotaUrgent():
 		return min(m.nextGossipAt, m.lastGossipAt.Add(quotaGossipInterval))
 	}
 	return m.nextGossipAt
--- a/pkg/core/gateway/quota/loans.go
+++ b/pkg/core/gateway/quota/loans.go
@@ -20,6 +20,10 @@
 	// lendRatio is what holders lend together, relative to what is asked for: some have
 	// nothing to lend.
 	lendRatio = 1.0
+	// minRise is by how many requests in a window, and minRiseRatio by which part, a demand
+	// must rise to be told before the next full message.
+	minRise      = 0.5
+	minRiseRatio = 0.3
 	// shortAhead is how far ahead of a shortage a daemon asks, in seconds of a window of
 	// five: until an answer is there and once more if that is lost.
 	shortAhead = 0.5
@@ -84,6 +88,8 @@
 	incarnation, counter uint64
 	receivedAt           model.Time
 	claims               []Claim
+	// waiting means that it asks for more than when it was last answered.
+	waiting bool
 	// lends are the tenants of which it lends shares to this daemon.
 	lends []string
 }
@@ -175,8 +181,7 @@
 		return
 	}
 	s.setWant(now, a, own)
-	// A difference of less than one request is not worth a message.
-	if (a.want-a.toldWant)*s.allowance(a.limits) >= 1 || a.want > 0 && a.toldWant == 0 {
+	if a.want > 0 && a.want-a.toldWant >= max(minRise/s.allowance(a.limits), minRiseRatio*a.toldWant) {
 		s.urgent = true
 	}
 }
@@ -233,8 +238,16 @@
 	return out
 }
 
-// Urgent reports whether other daemons should be told of a change soon.
-func (s *State) Urgent() bool { return s.urgent }
+// Urgent reports whether all other daemons should be told soon of what this one asks for,
+// and the daemons that wait for an answer to what they ask for.
+func (s *State) Urgent() (toAll bool, waiting []string) {
+	for _, name := range slices.Sorted(maps.Keys(s.peers)) {
+		if s.peers[name].waiting {
+			waiting = append(waiting, name)
+		}
+	}
+	return s.urgent, waiting
+}
 
 // Received takes over a message of another daemon that is newer than all earlier ones of
 // it.
@@ -247,8 +260,8 @@
 		p = &peer{}
 		s.peers[from] = p
 	}
-	s.urgent = s.urgent || asksForMore(p.claims, m.Claims)
-	*p = peer{incarnation: incarnation, counter: counter, receivedAt: now, claims: m.Claims, lends: p.lends}
+	waiting := p.waiting || asksForMore(p.claims, m.Claims)
+	*p = peer{incarnation: incarnation, counter: counter, receivedAt: now, claims: m.Claims, waiting: waiting, lends: p.lends}
 	s.takeLoans(now, from, p, self, m)
 }
 
@@ -312,6 +325,9 @@
 // limits returns the limits of a tenant; ok is false if it has none.
 func (s *State) LoansTo(now model.Time, borrower string, limits func(tenant string) (l Limits, ok bool)) ([]Loan, Echo) {
 	p, ok := s.peers[borrower]
+	if ok {
+		p.waiting = false
+	}
 	if !ok || s.holding.share() == 0 || now < s.spentUntil {
 		return nil, Echo{}
 	}
--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -198,8 +198,8 @@
 // limit is the number of requests of a tenant that this daemon admits in a window.
 func (s *State) limit(now model.Time, a *account) int {
 	// The margin keeps a sum of shares that make up a whole request from falling short of
-	// it by rounding.
-	const rounding = 1e-9
+	// it by rounding; messages have shares in single precision.
+	const rounding = 1e-3
 	return int(s.allowance(a.limits)*(s.own(now, a)+a.borrowedShare(now)) + rounding)
 }
 
--- a/pkg/core/gateway/quota/quota_test.go
+++ b/pkg/core/gateway/quota/quota_test.go
@@ -166,11 +166,11 @@
 	if got := admitAll(a, now, testLimits); got != 20 {
 		t.Fatal(got)
 	}
-	if !a.Urgent() {
+	if toAll, _ := a.Urgent(); !toAll {
 		t.Error("the others are not told of a shortage")
 	}
 	exchange(now, a, b, "a", "b", testLimits, 1)
-	if !b.Urgent() {
+	if _, waiting := b.Urgent(); len(waiting) != 1 {
 		t.Error("a daemon that is asked does not answer soon")
 	}
 	exchange(now, b, a, "b", "a", testLimits, 1)
--- a/pkg/core/gateway/quotas.go
+++ b/pkg/core/gateway/quotas.go
@@ -189,53 +189,66 @@
 	s.quota.Received(s.now, sender.Name, sender.Incarnation, sender.Counter, quota.Echo{Incarnation: s.opt.Self.Incarnation}, m)
 }
 
-// emitGossip sends a message to daemons. Those that have asked for shares of quotas get one
-// of their own with what this daemon lends them.
+// emitGossip sends a message to daemons. Those that need only this daemon's sections get its
+// own entry with them. Those that have asked for shares of quotas get a message of their
+// own with what this daemon lends them.
 func (s *State) emitGossip(to []string, entries []DaemonEntry, sections Sections) {
+	direct := s.directTargets(to, sections)
 	if s.quotaEnabled() {
-		s.quota.Sent(s.now, s.members.counter)
-		to = s.withQuotaPeers(to, sections)
-		for _, name := range s.quota.Borrowers(s.now) {
-			d, ok := s.daemons[name]
-			if !ok {
-				continue
-			}
-			own := sections
-			own.QuotaLoans, own.QuotaEcho = s.quota.LoansTo(s.now, name, s.limitsByName)
-			if len(own.QuotaLoans) == 0 {
-				continue
-			}
-			to = slices.DeleteFunc(to, func(address string) bool { return address == d.PeerAddress })
-			s.emit(Gossip{To: []string{d.PeerAddress}, Daemons: entries[:1], Sections: own})
+		for _, address := range s.answerBorrowers(s.quota.Borrowers(s.now), sections) {
+			isAnswered := func(other string) bool { return other == address }
+			to, direct = slices.DeleteFunc(to, isAnswered), slices.DeleteFunc(direct, isAnswered)
 		}
 	}
 	if len(to) > 0 {
 		s.emit(Gossip{To: to, Daemons: entries, Sections: sections})
 	}
+	if len(direct) > 0 {
+		s.emit(Gossip{To: direct, Daemons: entries[:1], Sections: sections})
+	}
 }
 
-// withQuotaPeers adds the daemons that hold shares of quotas, if this one asks for some.
-func (s *State) withQuotaPeers(to []string, sections Sections) []string {
-	if len(sections.Quota) == 0 || !s.largeFleet() {
-		return to
-	}
-	for _, name := range s.quotaHolders() {
-		if d, ok := s.daemons[name]; ok && !slices.Contains(to, d.PeerAddress) {
-			to = append(to, d.PeerAddress)
+// answerBorrowers sends daemons what this one lends them and returns the addresses of those
+// that it lends something.
+func (s *State) answerBorrowers(borrowers []string, sections Sections) []string {
+	s.quota.Sent(s.now, s.members.counter)
+	var out []string
+	for _, name := range borrowers {
+		d, ok := s.daemons[name]
+		if !ok {
+			continue
+		}
+		sections.QuotaLoans, sections.QuotaEcho = s.quota.LoansTo(s.now, name, s.limitsByName)
+		if len(sections.QuotaLoans) > 0 {
+			s.emit(Gossip{To: []string{d.PeerAddress}, Daemons: []DaemonEntry{s.self()}, Sections: sections})
+			out = append(out, d.PeerAddress)
 		}
 	}
-	return to
+	return out
+}
+
+// quotaUrgent reports whether others should be told soon that the demand of a tenant has
+// changed, or what they are lent.
+func (s *State) quotaUrgent() bool {
+	if !s.quotaEnabled() {
+		return false
+	}
+	toAll, waiting := s.quota.Urgent()
+	return toAll || len(waiting) > 0
 }
 
-// gossipQuota tells others, between two full messages, that the demand of a tenant has
-// changed.
+// gossipQuota sends what quotaUrgent has reported, between two full messages.
 func (s *State) gossipQuota() {
 	s.members.lastGossipAt = s.now
 	s.members.counter++
+	toAll, waiting := s.quota.Urgent()
 	sections := s.ownSections()
-	var to []string
-	if len(sections.Quota) > 0 && !s.largeFleet() {
-		to = s.gossipTargets()
+	switch {
+	case !toAll:
+		s.answerBorrowers(waiting, sections)
+	case s.largeFleet():
+		s.emitGossip(nil, []DaemonEntry{s.self()}, sections)
+	default:
+		s.emitGossip(s.gossipTargets(), []DaemonEntry{s.self()}, sections)
 	}
-	s.emitGossip(to, []DaemonEntry{s.self()}, sections)
 }
--- a/pkg/core/gateway/sections.go
+++ b/pkg/core/gateway/sections.go
@@ -103,16 +103,23 @@
 	return Sections{Quota: s.ownDemands(), Rollouts: evidence, Progress: progress}
 }
 
-// withActiveDaemons adds the addresses of the active daemons to those that get a message, if
-// it has sections: sections are not passed on, and the active daemons share limits by them.
-func (s *State) withActiveDaemons(to []string, sections Sections) []string {
+// directTargets returns the addresses of the daemons that get this daemon's sections beside
+// those that a message goes to anyway: sections are not passed on. The active daemons share
+// limits by them, and the holders of quotas lend by them.
+func (s *State) directTargets(to []string, sections Sections) []string {
 	if sections.empty() || !s.largeFleet() {
-		return to
+		return nil
 	}
+	var holders []string
+	if len(sections.Quota) > 0 {
+		holders = s.quotaHolders()
+	}
+	var out []string
 	for _, name := range s.daemonNames() {
-		if d := s.daemons[name]; d.active && !slices.Contains(to, d.PeerAddress) {
-			to = append(to, d.PeerAddress)
+		d := s.daemons[name]
+		if (d.active || slices.Contains(holders, name)) && !slices.Contains(to, d.PeerAddress) {
+			out = append(out, d.PeerAddress)
 		}
 	}
-	return to
+	return out
 }
--- a/pkg/core/gateway/tenants_test.go
+++ b/pkg/core/gateway/tenants_test.go
@@ -156,11 +156,15 @@
 	if _, ok := h.answers[running].(ForwardAnswer); !ok {
 		t.Errorf("the request that ran got %+v", h.answers[running])
 	}
-	for q, name := range map[QueryID]string{kept: "b", moved: "c"} {
-		if got := h.tenantOf(q); got != name {
-			t.Errorf("request %d runs under %q, want %q", q, got, name)
+	// The leaf takes one request at a time, in the order of arrival.
+	for _, x := range []struct {
+		query  QueryID
+		tenant string
+	}{{kept, "b"}, {moved, "c"}} {
+		if got := h.tenantOf(x.query); got != x.tenant {
+			t.Errorf("request %d runs under %q, want %q", x.query, got, x.tenant)
 		}
-		h.finishCall(h.calls(q)[0], OutcomeSucceeded)
+		h.finishCall(h.calls(x.query)[0], OutcomeSucceeded)
 	}
 	if len(h.calls(removed)) != 0 || h.countLogs(LogKeysRevoked) != 1 {
 		t.Errorf("the refused request was sent, or %d lines were logged", h.countLogs(LogKeysRevoked))
--- a/pkg/edge/sections.go
+++ b/pkg/edge/sections.go
@@ -70,25 +70,25 @@
 }
 
 func encodeDemand(d gateway.TenantDemand) *gossippb.TenantDemand {
-	return &gossippb.TenantDemand{Tenant: d.Tenant, ArrivalsPerSecond: d.ArrivalsPerSecond, WorkPerSecond: d.WorkPerSecond, WantedShare: d.WantedShare}
+	return &gossippb.TenantDemand{Tenant: d.Tenant, ArrivalsPerSecond: float32(d.ArrivalsPerSecond), WorkPerSecond: float32(d.WorkPerSecond), WantedShare: float32(d.WantedShare)}
 }
 
 func encodeLoan(l quota.Loan) *gossippb.TenantLoan {
-	return &gossippb.TenantLoan{Tenant: l.Tenant, Share: l.Share}
+	return &gossippb.TenantLoan{Tenant: l.Tenant, Share: float32(l.Share)}
 }
 
 // decodeQuota decodes the section of quotas into out.
 func decodeQuota(q *gossippb.QuotaSection, out *gateway.Sections) {
 	for _, d := range q.GetTenants() {
-		if isName(d.GetTenant()) && isAmount(d.GetArrivalsPerSecond()) && isAmount(d.GetWorkPerSecond()) && isShare(d.GetWantedShare()) {
+		if isName(d.GetTenant()) && isAmount(float64(d.GetArrivalsPerSecond())) && isAmount(float64(d.GetWorkPerSecond())) && isShare(float64(d.GetWantedShare())) {
 			out.Quota = append(out.Quota, gateway.TenantDemand{
-				Tenant: d.GetTenant(), ArrivalsPerSecond: d.GetArrivalsPerSecond(), WorkPerSecond: d.GetWorkPerSecond(), WantedShare: d.GetWantedShare(),
+				Tenant: d.GetTenant(), ArrivalsPerSecond: float64(d.GetArrivalsPerSecond()), WorkPerSecond: float64(d.GetWorkPerSecond()), WantedShare: float64(d.GetWantedShare()),
 			})
 		}
 	}
 	for _, l := range q.GetLoans() {
-		if isName(l.GetTenant()) && isShare(l.GetShare()) {
-			out.QuotaLoans = append(out.QuotaLoans, quota.Loan{Tenant: l.GetTenant(), Share: l.GetShare()})
+		if isName(l.GetTenant()) && isShare(float64(l.GetShare())) {
+			out.QuotaLoans = append(out.QuotaLoans, quota.Loan{Tenant: l.GetTenant(), Share: float64(l.GetShare())})
 		}
 	}
 	out.QuotaEcho = quota.Echo{Incarnation: q.GetEchoIncarnation(), Counter: q.GetEchoCounter()}
--- a/pkg/edge/sections_test.go
+++ b/pkg/edge/sections_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
@@ -17,7 +18,8 @@
 func TestSectionsOnTheWire(t *testing.T) {
 	entry := gateway.DaemonEntry{Name: "d1", Incarnation: 1, Counter: 1}
 	want := gateway.Sections{
-		Quota:    []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1.5, WorkPerSecond: 135}},
+		Quota:      []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1.5, WorkPerSecond: 135, WantedShare: 0.25}},
+		QuotaLoans: []quota.Loan{{Tenant: "y", Share: 0.125}}, QuotaEcho: quota.Echo{Incarnation: 1_790_000_000_000, Counter: 7},
 		Rollouts: []gateway.VersionEvidence{{Service: "s", Order: 9, Route: "r", Target: true, Attempts: 10, BadAnswers: 2, Latencies: []uint32{1, 9}, Leafs: 2, BadLeafs: 1}},
 		Capacity: []gateway.LeafCapacity{{Leaf: "i-1", Limit: 2.5, BaseLatency: 1.3}},
 	}
@@ -44,6 +46,7 @@
 	var x gateway.Sections
 	for i := range 2000 {
 		name := fmt.Sprintf("name-%d", i)
+		x.QuotaLoans = append(x.QuotaLoans, quota.Loan{Tenant: name, Share: 0.1})
 		x.Quota = append(x.Quota, gateway.TenantDemand{Tenant: name, ArrivalsPerSecond: 1, WorkPerSecond: 1})
 		x.Rollouts = append(x.Rollouts, gateway.VersionEvidence{Service: name, Order: 1 << 50, Route: name, Attempts: 1 << 40, Latencies: make([]uint32, 12)})
 		x.Capacity = append(x.Capacity, gateway.LeafCapacity{Leaf: name, Limit: 1, BaseLatency: 1})
--- a/pkg/edged/admin.go
+++ b/pkg/edged/admin.go
@@ -16,6 +16,8 @@
 	RoutesPath  = "/routes"
 	LeafsPath   = "/leafs"
 	ExplainPath = "/explain"
+	// TenantsPath serves the tenants and the use of their quotas, without keys.
+	TenantsPath = "/tenants"
 	// RolloutsPath serves the orders of roll-outs.
 	RolloutsPath = "/rollouts"
 )
@@ -53,6 +55,7 @@
 	mux.HandleFunc("GET "+LeafsPath, d.inspectHandler(func(s *gateway.State, r *http.Request) any {
 		return s.Leafs(r.URL.Query().Get("service"))
 	}))
+	mux.HandleFunc("GET "+TenantsPath, d.inspectHandler(func(s *gateway.State, _ *http.Request) any { return s.Tenants() }))
 	mux.HandleFunc("GET "+RolloutsPath, d.inspectHandler(func(s *gateway.State, _ *http.Request) any { return s.Rollouts() }))
 	mux.HandleFunc("GET "+ExplainPath, d.inspectHandler(func(s *gateway.State, r *http.Request) any {
 		return s.Explain(r.URL.Query().Get("host"), r.URL.Query().Get("path"))
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -11,11 +11,11 @@
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 )
 
-// maxLabelValues bounds the number of routes, and of services, that get a series of
-// their own: each series takes memory, and configurations add new names all day.
+// maxLabelValues bounds the number of routes, of services and of tenants that get a series
+// of their own: each series takes memory, and configurations add new names all day.
 const maxLabelValues = 64
 
-// otherLabel is the label value for all routes or services beyond maxLabelValues.
+// otherLabel is the label value for all routes, services or tenants beyond maxLabelValues.
 const otherLabel = "other"
 
 // labelValues holds the first maxLabelValues values of a label.
@@ -55,12 +55,14 @@
 	latency       *prometheus.HistogramVec
 	missingShards *prometheus.CounterVec
 	extraAttempts *prometheus.CounterVec
+	tenants       *prometheus.CounterVec
 	calls         *prometheus.CounterVec
 	callTime      *prometheus.HistogramVec
 	storeCalls    *prometheus.CounterVec
 	connsOpened   prometheus.Counter
 	services      labelValues
 	routes        labelValues
+	tenantNames   labelValues
 }
 
 // NewMetrics registers the collectors of a daemon.
@@ -80,6 +82,7 @@
 		latency:       histogram("request_seconds", "Time from a request to its final answer.", "route", requestBuckets),
 		missingShards: counter("missing_shards_total", "Shards that answers lack.", "route"),
 		extraAttempts: counter("extra_attempts_total", "Attempts beyond the first, and those that the budget denied.", "route", "kind"),
+		tenants:       counter("tenant_requests_total", "Requests of callers with the key of a tenant, by tenant and outcome.", "tenant", "outcome"),
 		calls:         counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
 		callTime:      histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
 		storeCalls:    counter("store_calls_total", "Calls to the store.", "kind", "operation", "outcome"),
@@ -91,6 +94,9 @@
 
 // countRequest counts a request that has ended.
 func (m *Metrics) countRequest(q *gateway.QueryReport) {
+	if q.Tenant != "" {
+		m.tenants.WithLabelValues(m.tenantNames.valueOrOther(q.Tenant), q.Outcome).Inc()
+	}
 	if q.Route == "" {
 		m.requests.WithLabelValues("", q.Outcome).Inc()
 		return
@@ -181,6 +187,9 @@
 	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
 	gauge("throttle", "Greatest probability of all routes with which a request is refused at its arrival because leafs are overloaded.", func(s gateway.Status) float64 { return s.Throttle })
 	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
+	gauge("tenants", "Tenants in the configuration in force.", func(s gateway.Status) float64 { return float64(s.Tenants) })
+	gauge("quota_holders", "Daemons that hold shares of the quotas of tenants.", func(s gateway.Status) float64 { return float64(s.QuotaHolders) })
+	gauge("quota_holder", "1 if this daemon holds a share of the quotas of tenants.", func(s gateway.Status) float64 { return toFloat(s.QuotaHolder) })
 	gauge("running_rollouts", "Orders of roll-outs without a verdict.", func(s gateway.Status) float64 { return float64(s.RunningRollouts) })
 	gauge("excluded_leafs", "Leafs that get no requests, or only sampled ones, because of their version.", func(s gateway.Status) float64 { return float64(s.ExcludedLeafs) })
 	gauge("exposed_attempts", "Attempts since the start at leafs of versions whose roll-out had no verdict.", func(s gateway.Status) float64 { return float64(s.ExposedAttempts) })
--- a/pkg/edged/tenants_test.go
+++ b/pkg/edged/tenants_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -162,3 +163,28 @@
 	}
 	return string(body)
 }
+
+// Guards against requests over the quota that run or get another status, and against a
+// Retry-After at which they are refused again.
+func TestRequestsOverTheQuota(t *testing.T) {
+	s := newSite(t)
+	leaf := s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configureTenants([]standin.Tenant{{Name: "a", Keys: []string{"k"}, RatePerSecond: 0.4, Burst: 2}}, route("/one/", "one"))
+	d := s.daemon(1)
+	eventually(t, startTimeout, "ready", d.ready)
+	eventually(t, startTimeout, "a request is served", func() bool { return d.requestWithKey("/one/x", "k").Status == http.StatusOK })
+	for range 3 {
+		if a := d.requestWithKey("/one/x", "k"); a.Status != http.StatusOK {
+			t.Fatalf("answer %+v", a)
+		}
+	}
+	a := d.requestWithKey("/one/x", "k")
+	seconds, err := strconv.ParseFloat(a.RetryAfter, 64)
+	if a.Status != http.StatusTooManyRequests || err != nil || seconds <= 0 || seconds > 5.2 || len(leaf.Ran()) != 4 {
+		t.Fatalf("answer %+v, %d ran", a, len(leaf.Ran()))
+	}
+	time.Sleep(time.Duration((seconds + 0.01) * float64(time.Second)))
+	if a := d.requestWithKey("/one/x", "k"); a.Status != http.StatusOK {
+		t.Errorf("after %v s: %+v", seconds, a)
+	}
+}
