--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -30,6 +31,8 @@
 	// CallerTimeout is the caller's timeout, counted from when the request reached the daemon; 0
 	// if the caller did not state one.
 	CallerTimeout time.Duration
+	// Credential is the hash of the key that the request carries.
+	Credential tenant.Credential
 }
 
 // CallerGone means that the caller closed its connection.
@@ -106,10 +109,24 @@
 type ServerRemoved struct {
 	ID          string
 	AfterOutage bool
+	// Left means that the leaf is known to have left: its entry does not come back.
+	Left bool
 }
 
 // EvacuationsListed is the full list of failure domains that must get no work.
-type EvacuationsListed struct{ FailureDomains []string }
+type EvacuationsListed struct {
+	FailureDomains []string
+	// Held are those of them whose evacuation the store no longer shows since it came back
+	// from a copy.
+	Held []string
+}
+
+// StoreEraSeen is a later era of the store than those seen before. Copied means that
+// something was known in an earlier one.
+type StoreEraSeen struct {
+	Era    uint64
+	Copied bool
+}
 
 // ViewAdvanced has the store's revisions of changes that were applied before, by kind; 0
 // for a kind without one.
@@ -123,7 +140,15 @@
 }
 
 // DaemonsListed is the full list of daemons in the store.
-type DaemonsListed struct{ Daemons []DaemonEntry }
+type DaemonsListed struct {
+	Daemons []DaemonEntry
+	// Era is that of the list; 0 if the store names none.
+	Era uint64
+}
+
+// Registered means that this daemon's entry is in the store. First means that it was not
+// there before.
+type Registered struct{ First bool }
 
 // GossipReceived is a gossip message of another daemon, whose entry is the first.
 type GossipReceived struct {
@@ -165,9 +190,11 @@
 func (ServerChanged) event()     {}
 func (ServerRemoved) event()     {}
 func (EvacuationsListed) event() {}
+func (StoreEraSeen) event()      {}
 func (ViewAdvanced) event()      {}
 func (ViewFetched) event()       {}
 func (DaemonsListed) event()     {}
+func (Registered) event()        {}
 func (GossipReceived) event()    {}
 func (StoreReached) event()      {}
 func (SettingsChanged) event()   {}
@@ -235,6 +262,11 @@
 	// RefusalStopping means that the daemon ends before an answer can be expected; nothing
 	// was sent.
 	RefusalStopping
+	// RefusalUnauthorized means that the request needs a key of a tenant and has none, or
+	// that the key was removed before the request was sent to a leaf.
+	RefusalUnauthorized
+	// RefusalQuota means that the request exceeds the quota of its tenant.
+	RefusalQuota
 	RefusalOverload
 	// RefusalNoRoute means that no route matches.
 	RefusalNoRoute
@@ -244,7 +276,7 @@
 )
 
 // refusalNames are the reasons as log lines show them.
-var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "overload", "no_route", "failed", "deadline"}
+var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "unauthorized", "quota", "overload", "no_route", "failed", "deadline"}
 
 // String returns the reason as log lines show it.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -263,8 +295,8 @@
 type Refuse struct {
 	Query  QueryID
 	Reason Refusal
-	// RetryAfter is the time after which the caller may retry; set only if
-	// Reason.NotRun.
+	// RetryAfter is the time after which the caller may retry; 0 if no time is known. It is
+	// set only if Reason.NotRun.
 	RetryAfter time.Duration
 }
 
@@ -282,6 +314,8 @@
 	Daemon, From string
 	// View has the revisions that the daemon has told of.
 	View ViewRevisions
+	// Retained asks for what the daemon retains from earlier eras of the store.
+	Retained bool
 }
 
 // WatchStore makes this daemon start or stop watching the store.
@@ -355,6 +389,12 @@
 	LogStoreLost
 	LogStoreRegained
 	LogStopStarted
+	LogTenantsChanged
+	LogKeysRevoked
+	LogStoreCopied
+	LogEvacuationHeld
+	LogQuotaExceeded
+	LogQuotaHolding
 	LogRolloutStarted
 	LogRolloutWithdrawn
 	LogRolloutActing
@@ -366,8 +406,10 @@
 type QueryReport struct {
 	RequestID string
 	Route     string
-	Outcome   string
-	Elapsed   time.Duration
+	// Tenant is the name of the tenant whose key the request has; empty if there is none.
+	Tenant  string
+	Outcome string
+	Elapsed time.Duration
 	// Late means that the answer missed the route's latency target.
 	Late           bool
 	ConfigVersion  uint64
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -23,6 +25,8 @@
 	// attempts per window.
 	RetryRatio float64
 	RetrySlack float64
+	// Quota bounds the requests of tenants.
+	Quota quota.Bounds
 	// MaxSilence is how long a daemon may not be heard of before it counts as gone.
 	MaxSilence time.Duration
 	// IsSeed means that the settings of other daemons name this one as a seed.
@@ -46,14 +50,19 @@
 	servers   map[string]*server
 	services  map[string]*service
 	evacuated map[string]bool
-	routes    map[string]*routeState
-	queries   map[QueryID]*query
-	calls     map[CallID]*call
-	lastCall  CallID
-	timers    timerHeap
+	// heldEvacuations are the evacuated failure domains whose evacuation the store no
+	// longer shows since it came back from a copy.
+	heldEvacuations []string
+	routes          map[string]*routeState
+	queries         map[QueryID]*query
+	calls           map[CallID]*call
+	lastCall        CallID
+	timers          timerHeap
 
 	daemons map[string]*daemon
 	members memberState
+	// quota limits the requests of tenants.
+	quota *quota.State
 
 	// serversKnown means that a full list of leafs was received.
 	serversKnown bool
@@ -61,6 +70,8 @@
 	viewConfirmedAt model.Time
 	storeDownSince  model.Time
 	storeDown       bool
+	// storeEra is the latest known era of the store; 0 if it names none.
+	storeEra uint64
 	// storeFailedAt is when a call to the store last failed; 0 if none did.
 	storeFailedAt model.Time
 	stopping      bool
@@ -88,6 +99,7 @@
 		queries:   map[QueryID]*query{},
 		calls:     map[CallID]*call{},
 		daemons:   map[string]*daemon{},
+		quota:     quota.New(o.Self.Name, o.Quota, 0),
 		rollouts:  newRolloutState(),
 	}
 }
@@ -116,6 +128,8 @@
 		s.serverRemoved(e)
 	case EvacuationsListed:
 		s.evacuationsListed(e)
+	case StoreEraSeen:
+		s.storeEraSeen(e)
 	case RolloutsListed:
 		s.rolloutsListed(e)
 	case VerdictWritten:
@@ -126,6 +140,8 @@
 		s.viewFetched(e)
 	case DaemonsListed:
 		s.daemonsListed(e)
+	case Registered:
+		s.registered(e)
 	case GossipReceived:
 		s.gossipReceived(e)
 	case StoreReached:
@@ -195,6 +211,10 @@
 		return
 	}
 	e.Config.index()
+	var earlier *tenant.Directory
+	if s.config != nil {
+		earlier = s.config.directory
+	}
 	s.config = e.Config
 	s.emit(Log{Kind: LogConfigApplied, Detail: e.Source, Number: int64(e.Config.Version)})
 	s.emit(ApplyLimits{Limits: e.Config.Limits})
@@ -206,6 +226,7 @@
 			delete(s.services, name)
 		}
 	}
+	s.tenantsChanged(earlier)
 	s.members.selfGossipPending = true
 }
 
@@ -243,18 +264,22 @@
 type Status struct {
 	ConfigVersion uint64
 	// ViewAge is for how long the list of leafs has not been confirmed.
-	ViewAge      time.Duration
-	View         ViewRevisions
-	Ready        bool
-	Watcher      bool
-	StoreDown    bool
-	Leafs        int
-	ColdLeafs    int
-	SuspectLeafs int
-	Daemons      int
-	OpenRequests int
-	OpenCalls    int
-	Queued       int
+	ViewAge   time.Duration
+	View      ViewRevisions
+	Ready     bool
+	Watcher   bool
+	StoreDown bool
+	// StoreEra is the latest known era of the store, HeldEvacuations the number of
+	// evacuations in force that it no longer shows.
+	StoreEra        uint64
+	HeldEvacuations int
+	Leafs           int
+	ColdLeafs       int
+	SuspectLeafs    int
+	Daemons         int
+	OpenRequests    int
+	OpenCalls       int
+	Queued          int
 	// LeastTokens is the smallest retry budget of any service, in attempts.
 	LeastTokens float64
 	// Throttle is the highest probability of any route with which a request is refused
@@ -275,7 +300,7 @@
 	_, daemons := s.StoreRank()
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
-		Watcher: s.members.watcher, StoreDown: s.storeDown, Leafs: len(s.servers), Daemons: daemons,
+		Watcher: s.members.watcher, StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
 	for _, srv := range s.servers {
--- a/pkg/core/gateway/rollout/decide.go
+++ b/pkg/core/gateway/rollout/decide.go
@@ -138,13 +138,15 @@
 	// the object has to be read before: an earlier write may have taken effect.
 	Write, ReadBack bool
 	Service, Target string
-	Order, Revision uint64
+	Order           uint64
+	// Era and Revision say when the order was read.
+	Era, Revision uint64
 }
 
 // Decide tests the evidence if that is due and says what is to be done.
 func (s *State) Decide(now model.Time, in Situation) Result {
 	if !s.running() {
-		return Result{}
+		return s.rewriteVerdict(now, in)
 	}
 	r := s.run
 	before := r.local
@@ -154,7 +156,7 @@
 	}
 	out := Result{
 		Decided: r.local != before, Acting: r.local, Reason: r.reason,
-		Service: r.Service, Target: r.Target, Order: r.id, Revision: r.Revision, ReadBack: r.readBack,
+		Service: r.Service, Target: r.Target, Order: r.id, Era: r.Era, Revision: r.Revision, ReadBack: r.readBack,
 	}
 	if s.writeDue(now, in) {
 		r.writing = true
@@ -163,6 +165,18 @@
 	return out
 }
 
+// rewriteVerdict asks for the verdict in force to be written again if the store has lost it.
+func (s *State) rewriteVerdict(now model.Time, in Situation) Result {
+	r := s.run
+	if r == nil || !r.rewrite || r.writing || now < r.nextWriteAt.Add(time.Duration(in.Turn)*writeTurn) {
+		return Result{}
+	}
+	r.writing = true
+	return Result{
+		Acting: r.Verdict, Reason: r.reason, Write: true, Service: r.Service, Target: r.Target, Order: r.id, Era: r.Era, Revision: r.Revision,
+	}
+}
+
 // settleTime is the end of the duration in which the traffic is moved and the verdict
 // written.
 func (r *run) settleTime() time.Duration {
@@ -322,6 +336,7 @@
 	switch outcome {
 	case Written:
 		r.readBack = false
+		r.rewrite = false
 		if r.Verdict == Undecided {
 			s.conclude(now, v)
 			return true
--- a/pkg/core/gateway/rollout/rollout.go
+++ b/pkg/core/gateway/rollout/rollout.go
@@ -47,6 +47,8 @@
 	// Created is the store's revision in which the object of the order was created, Revision
 	// the one of its latest change.
 	Created, Revision uint64
+	// Era is that of the store in which Revision counts; 0 if the store names none.
+	Era uint64
 	// Verdict is what the store holds for the target version.
 	Verdict Verdict
 }
@@ -99,6 +101,8 @@
 	// not ended; readBack means that the previous one may have taken effect.
 	nextWriteAt       model.Time
 	writing, readBack bool
+	// rewrite means that the store has lost the verdict, which is in force.
+	rewrite bool
 	// peers is what other daemons told last about this order.
 	peers map[string]peer
 }
@@ -133,8 +137,14 @@
 		return s.withdraw()
 	}
 	if s.run != nil && s.run.id == o.ID() {
+		if o.Era > s.run.Era && s.run.Verdict != Undecided && o.Verdict == Undecided {
+			// The store came back from a copy that is older than the verdict.
+			s.run.rewrite, s.run.Revision, s.run.Era = true, o.Revision, o.Era
+			s.run.nextWriteAt = now
+		}
 		if s.run.Verdict == Undecided || s.run.Verdict == o.Verdict {
-			s.run.Revision = o.Revision
+			s.run.rewrite = false
+			s.run.Revision, s.run.Era = o.Revision, o.Era
 		}
 		if s.run.Verdict != Undecided || o.Verdict == Undecided {
 			return Unchanged
@@ -181,7 +191,9 @@
 func (s *State) running() bool { return s.run != nil && s.run.Verdict == Undecided }
 
 // Attention reports whether time alone may change the result of Uses or Decide.
-func (s *State) Attention() bool { return s.running() || len(s.versions.held) > 0 }
+func (s *State) Attention() bool {
+	return s.running() || s.run != nil && s.run.rewrite || len(s.versions.held) > 0
+}
 
 // Order returns the order in force and what this daemon acts on; ok is false without one.
 func (s *State) Order() (o Order, acting Verdict, ok bool) {
--- a/pkg/core/gateway/rolloutevent.go
+++ b/pkg/core/gateway/rolloutevent.go
@@ -22,9 +22,11 @@
 type WriteVerdict struct {
 	Service, Target string
 	// Order identifies the order.
-	Order, Revision uint64
-	Verdict         rollout.Verdict
-	ReadBack        bool
+	Order uint64
+	// Era and Revision say when the order was read.
+	Era, Revision uint64
+	Verdict       rollout.Verdict
+	ReadBack      bool
 }
 
 func (RolloutsListed) event() {}
--- a/pkg/core/gateway/rollouts.go
+++ b/pkg/core/gateway/rollouts.go
@@ -149,7 +149,7 @@
 		}
 	}
 	if result.Write {
-		s.emit(WriteVerdict{Service: result.Service, Target: result.Target, Order: result.Order, Revision: result.Revision, Verdict: result.Acting, ReadBack: result.ReadBack})
+		s.emit(WriteVerdict{Service: result.Service, Target: result.Target, Order: result.Order, Era: result.Era, Revision: result.Revision, Verdict: result.Acting, ReadBack: result.ReadBack})
 	}
 	if x.Attention() {
 		s.rollouts.attention[name] = true
--- a/pkg/core/gateway/sections.go
+++ b/pkg/core/gateway/sections.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -16,8 +17,11 @@
 // Sections are what a daemon tells the others about its own requests and attempts. Each
 // list is in the order of importance and is cut where a message would become too large.
 type Sections struct {
-	Quota    []TenantDemand
-	Rollouts []VersionEvidence
+	Quota []TenantDemand
+	// QuotaLoans are for the receiver alone; QuotaEcho names the message that they answer.
+	QuotaLoans []quota.Loan
+	QuotaEcho  quota.Echo
+	Rollouts   []VersionEvidence
 	// Progress tells of the running orders that Rollouts is about.
 	Progress []RolloutProgress
 	Capacity []LeafCapacity
@@ -29,6 +33,9 @@
 	ArrivalsPerSecond float64
 	// WorkPerSecond is the work of these requests, in attempts at leafs.
 	WorkPerSecond float64
+	// WantedShare is the share of the tenant's quota that the daemon needs beyond what it
+	// holds.
+	WantedShare float64
 }
 
 // VersionEvidence is what a daemon's own attempts show of a version of a service's software
@@ -50,7 +57,7 @@
 
 // empty reports whether there is nothing to tell.
 func (x Sections) empty() bool {
-	return len(x.Quota) == 0 && len(x.Rollouts) == 0 && len(x.Progress) == 0 && len(x.Capacity) == 0
+	return len(x.Quota) == 0 && len(x.QuotaLoans) == 0 && len(x.Rollouts) == 0 && len(x.Progress) == 0 && len(x.Capacity) == 0
 }
 
 // receivedSections are the sections of another daemon and the message that brought them.
@@ -75,6 +82,7 @@
 		return
 	}
 	d.sections = receivedSections{e.Sections, sender.Incarnation, sender.Counter, s.now}
+	s.quotaReceived(sender, e.Sections)
 	s.mergeRollouts(d)
 }
 
@@ -92,7 +100,7 @@
 // ownSections returns what this daemon tells the others.
 func (s *State) ownSections() Sections {
 	evidence, progress := s.rolloutSections()
-	return Sections{Rollouts: evidence, Progress: progress}
+	return Sections{Quota: s.ownDemands(), Rollouts: evidence, Progress: progress}
 }
 
 // withActiveDaemons adds the addresses of the active daemons to those that get a message, if
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -46,7 +46,7 @@
 }
 
 func (f *Follower) writeVerdict(ctx context.Context, e gateway.WriteVerdict) error {
-	revision := e.Revision
+	at := Position{Era: e.Era, Revision: e.Revision}
 	if e.ReadBack {
 		order, err := f.readOrder(ctx, e.Service)
 		if err != nil {
@@ -55,19 +55,19 @@
 		if order.ID() != e.Order || order.Verdict != rollout.Undecided {
 			return errVerdictKnown
 		}
-		revision = order.Revision
+		at = Position{Era: order.Era, Revision: order.Revision}
 	}
-	return f.store.WriteVerdict(ctx, e.Service, revision, e.Target, e.Verdict)
+	return f.store.WriteVerdict(ctx, e.Service, at, e.Target, e.Verdict)
 }
 
 // readOrder lists the orders, posts them if they are newer than the known ones, and returns
 // that of a service.
 func (f *Follower) readOrder(ctx context.Context, service string) (gateway.RolloutOrder, error) {
-	objects, revision, err := f.store.List(ctx, KindRollouts, false)
+	objects, at, err := f.store.List(ctx, KindRollouts, false)
 	if err != nil {
 		return gateway.RolloutOrder{}, err
 	}
-	f.replaceState(KindRollouts, newKindState(objects, revision), sourceStore, f.afterOutage())
+	f.replaceState(KindRollouts, newKindState(objects, at), sourceStore, f.afterOutage())
 	for _, o := range objects {
 		if o.Name == service {
 			return f.decoder.Rollout(o)
--- a/pkg/edge/sections.go
+++ b/pkg/edge/sections.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
@@ -17,6 +18,9 @@
 	// maxSectionBytes bounds a section. With all three of them and 19 entries of daemons, a
 	// message stays below maxDatagramBytes.
 	maxSectionBytes = 3 << 10
+	// maxLoanBytes is the part of the section of quotas that loans may use, with which the
+	// sender answers the receiver; its own demands use the rest.
+	maxLoanBytes = 1 << 10
 	// maxProgressBytes is the part of a section that the progress of roll-outs may take;
 	// that of one takes about 40 bytes.
 	maxProgressBytes = 1 << 10
@@ -29,15 +33,19 @@
 // encodeSections encodes the sections of this daemon; nil if there is nothing to tell.
 func encodeSections(x gateway.Sections) *gossippb.Sections {
 	out := &gossippb.Sections{}
-	if len(x.Quota) > 0 {
-		out.Quota = &gossippb.QuotaSection{Version: sectionVersion, Tenants: encodeList(x.Quota, encodeDemand, maxSectionBytes)}
+	if len(x.Quota) > 0 || len(x.QuotaLoans) > 0 {
+		loans := encodeList(x.QuotaLoans, maxLoanBytes, encodeLoan)
+		out.Quota = &gossippb.QuotaSection{
+			Version: sectionVersion, Tenants: encodeList(x.Quota, maxSectionBytes-maxLoanBytes, encodeDemand), Loans: loans,
+			EchoIncarnation: x.QuotaEcho.Incarnation, EchoCounter: x.QuotaEcho.Counter,
+		}
 	}
 	if len(x.Rollouts)+len(x.Progress) > 0 {
-		progress := encodeList(x.Progress, encodeProgress, maxProgressBytes)
-		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Progress: progress, Evidence: encodeList(x.Rollouts, encodeEvidence, maxSectionBytes-maxProgressBytes)}
+		progress := encodeList(x.Progress, maxProgressBytes, encodeProgress)
+		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Progress: progress, Evidence: encodeList(x.Rollouts, maxSectionBytes-maxProgressBytes, encodeEvidence)}
 	}
 	if len(x.Capacity) > 0 {
-		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, encodeCapacity, maxSectionBytes)}
+		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, maxSectionBytes, encodeCapacity)}
 	}
 	if out.Quota == nil && out.Rollouts == nil && out.Capacity == nil {
 		return nil
@@ -45,8 +53,8 @@
 	return out
 }
 
-// encodeList encodes the first entries of a list that fit into a number of bytes.
-func encodeList[T any, M proto.Message](list []T, encode func(T) M, limit int) []M {
+// encodeList encodes the first entries of a list that fit into limit bytes.
+func encodeList[T any, M proto.Message](list []T, limit int, encode func(T) M) []M {
 	var out []M
 	size := 0
 	for _, x := range list {
@@ -62,9 +70,33 @@
 }
 
 func encodeDemand(d gateway.TenantDemand) *gossippb.TenantDemand {
-	return &gossippb.TenantDemand{Tenant: d.Tenant, ArrivalsPerSecond: d.ArrivalsPerSecond, WorkPerSecond: d.WorkPerSecond}
+	return &gossippb.TenantDemand{Tenant: d.Tenant, ArrivalsPerSecond: d.ArrivalsPerSecond, WorkPerSecond: d.WorkPerSecond, WantedShare: d.WantedShare}
+}
+
+func encodeLoan(l quota.Loan) *gossippb.TenantLoan {
+	return &gossippb.TenantLoan{Tenant: l.Tenant, Share: l.Share}
+}
+
+// decodeQuota decodes the section of quotas into out.
+func decodeQuota(q *gossippb.QuotaSection, out *gateway.Sections) {
+	for _, d := range q.GetTenants() {
+		if isName(d.GetTenant()) && isAmount(d.GetArrivalsPerSecond()) && isAmount(d.GetWorkPerSecond()) && isShare(d.GetWantedShare()) {
+			out.Quota = append(out.Quota, gateway.TenantDemand{
+				Tenant: d.GetTenant(), ArrivalsPerSecond: d.GetArrivalsPerSecond(), WorkPerSecond: d.GetWorkPerSecond(), WantedShare: d.GetWantedShare(),
+			})
+		}
+	}
+	for _, l := range q.GetLoans() {
+		if isName(l.GetTenant()) && isShare(l.GetShare()) {
+			out.QuotaLoans = append(out.QuotaLoans, quota.Loan{Tenant: l.GetTenant(), Share: l.GetShare()})
+		}
+	}
+	out.QuotaEcho = quota.Echo{Incarnation: q.GetEchoIncarnation(), Counter: q.GetEchoCounter()}
 }
 
+// isShare reports whether a value is a part of a whole.
+func isShare(v float64) bool { return v >= 0 && v <= 1 }
+
 func encodeEvidence(e gateway.VersionEvidence) *gossippb.VersionEvidence {
 	return &gossippb.VersionEvidence{
 		Service: e.Service, Order: e.Order, Route: e.Route, Target: e.Target, Attempts: e.Attempts, BadAnswers: e.BadAnswers,
@@ -87,11 +119,7 @@
 func decodeSections(m *gossippb.Sections) gateway.Sections {
 	var out gateway.Sections
 	if q := m.GetQuota(); q.GetVersion() == sectionVersion {
-		for _, d := range q.GetTenants() {
-			if isName(d.GetTenant()) && isAmount(d.GetArrivalsPerSecond()) && isAmount(d.GetWorkPerSecond()) {
-				out.Quota = append(out.Quota, gateway.TenantDemand{Tenant: d.GetTenant(), ArrivalsPerSecond: d.GetArrivalsPerSecond(), WorkPerSecond: d.GetWorkPerSecond()})
-			}
-		}
+		decodeQuota(q, &out)
 	}
 	if r := m.GetRollouts(); r.GetVersion() == sectionVersion {
 		for _, e := range r.GetEvidence() {
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -25,6 +25,8 @@
 	Name     string          `json:"name"`
 	Revision uint64          `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Era is that in which the object was read; 0 if the store names none.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Change is one change of an object.
@@ -51,28 +53,37 @@
 
 // Store is the platform's store.
 type Store interface {
-	// List returns all objects of a kind and the revision of the list. With mayBeStale
+	// Era returns the latest era that an answer of the store, of whatever outcome, has
+	// named; 0 if none has.
+	Era() uint64
+	// List returns all objects of a kind and the position of the list. With mayBeStale
 	// the list may be seconds old and is cheap. Errors: ErrStore.
-	List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, uint64, error)
-	// Watch waits up to wait for changes after a revision and returns them with the
-	// revision to continue from. Errors: ErrStore, ErrHistoryGone.
-	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) ([]Change, uint64, error)
+	List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error)
+	// Watch waits up to wait for changes after a position and returns them with the
+	// position to continue from. If that has another era, the changes are meaningless and
+	// the kind has to be listed. Errors: ErrStore, ErrHistoryGone.
+	Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error)
 	// Create creates an object. If it exists, Create returns the existing object and
 	// ErrConflict.
 	Create(ctx context.Context, kind Kind, name string, value any) (Object, error)
 	// Replace changes an object if it still has the revision of o, and returns
-	// ErrConflict otherwise.
+	// ErrConflict otherwise. Further errors: ErrStore, ErrEraChanged.
 	Replace(ctx context.Context, kind Kind, o Object, value any) error
 	// Remove deletes an object.
 	Remove(ctx context.Context, kind Kind, name string) error
 	// WriteVerdict writes the verdict on the order of a service if the order's object still
-	// has a revision. Otherwise it returns ErrConflict. After another error the write may
-	// have taken effect, or may do so later.
-	WriteVerdict(ctx context.Context, service string, revision uint64, target string, verdict rollout.Verdict) error
+	// is as of a position. Otherwise it returns ErrConflict. After another error, except
+	// ErrEraChanged before it was sent, the write may have taken effect, or may do so later.
+	WriteVerdict(ctx context.Context, service string, at Position, target string, verdict rollout.Verdict) error
 }
 
 // Decoder decodes the values of the store's objects.
 type Decoder interface {
+	// HideKeys replaces the keys of tenants in the value of a configuration by their
+	// hashes. Hashes in a value of the store, where only daemons write them, are removed;
+	// those in the view of another daemon are kept. A value without tenants is returned
+	// unchanged.
+	HideKeys(value json.RawMessage, fromStore bool) (json.RawMessage, error)
 	Config(value json.RawMessage) (*gateway.Config, error)
 	Server(name string, value json.RawMessage) (gateway.Server, error)
 	// Rollout decodes an object of KindRollouts.
