--- a/pkg/edge/modelcopies_test.go
+++ b/pkg/edge/modelcopies_test.go
@@ -326,3 +326,21 @@
 		}
 	})
 }
+
+// Guards against daemons that start while the store comes back from a copy, with old lists,
+// and take back what daemons that run longer know.
+func TestStartsDuringCopy(t *testing.T) {
+	eachFleetOfEra(t, func(t *testing.T, f *modelFleet) {
+		f.withdraw()
+		f.store.setStaleAge(func(string) time.Duration { return 3 * time.Second })
+		f.restart(len(f.daemons) / 4)
+		time.Sleep(200 * time.Millisecond)
+		f.restore(4 * time.Second)
+		f.restart(len(f.daemons) / 4)
+		for range 16 {
+			time.Sleep(500 * time.Millisecond)
+			f.checkWithdrawn("after the copy")
+		}
+		f.checkEra("after the copy")
+	})
+}
