--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -146,6 +146,10 @@
 	Era uint64
 }
 
+// Registered means that this daemon's entry is in the store. First means that it was not
+// there before.
+type Registered struct{ First bool }
+
 // GossipReceived is a gossip message of another daemon, whose entry is the first.
 type GossipReceived struct {
 	Daemons []DaemonEntry
@@ -190,6 +194,7 @@
 func (ViewAdvanced) event()      {}
 func (ViewFetched) event()       {}
 func (DaemonsListed) event()     {}
+func (Registered) event()        {}
 func (GossipReceived) event()    {}
 func (StoreReached) event()      {}
 func (SettingsChanged) event()   {}
@@ -260,6 +265,8 @@
 	// RefusalUnauthorized means that the request needs a key of a tenant and has none, or
 	// that the key was removed before the request was sent to a leaf.
 	RefusalUnauthorized
+	// RefusalQuota means that the request exceeds the quota of its tenant.
+	RefusalQuota
 	RefusalOverload
 	// RefusalNoRoute means that no route matches.
 	RefusalNoRoute
@@ -269,7 +276,7 @@
 )
 
 // refusalNames are the reasons as log lines show them.
-var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "unauthorized", "overload", "no_route", "failed", "deadline"}
+var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "unauthorized", "quota", "overload", "no_route", "failed", "deadline"}
 
 // String returns the reason as log lines show it.
 func (r Refusal) String() string { return refusalNames[r] }
@@ -386,6 +393,8 @@
 	LogKeysRevoked
 	LogStoreCopied
 	LogEvacuationHeld
+	LogQuotaExceeded
+	LogQuotaHolding
 )
 
 // QueryReport summarises how a request was handled.
