--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -120,6 +120,9 @@
 	heardAt model.Time
 	// listed means that the store's list contained its entry.
 	listed bool
+	// keptSince is when the store came back from a copy without its entry; 0 if it has
+	// one. A running daemon writes its entry again, and holds shares of quotas until then.
+	keptSince model.Time
 	// removalCountedFrom is when the daemon became known or the deletion of its entry
 	// was last requested. The entry is deleted daemonRetention after this time or
 	// heardAt, whichever is later.
@@ -214,11 +217,12 @@
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
 		switch {
-		case !d.listed || listed[name]:
-		case copied && s.alive(d):
-			// It registers again. Until then it is known from its gossip.
-			d.listed = false
-		default:
+		case listed[name]:
+			d.keptSince = 0
+		case !d.listed:
+		case copied:
+			d.keptSince = s.now
+		case d.keptSince == 0:
 			delete(s.daemons, name)
 		}
 	}
@@ -266,6 +270,10 @@
 			s.emit(Log{Kind: LogDaemonSilent, Subject: d.Name, Detail: d.FailureDomain, Duration: s.now.Sub(d.heardAt)})
 		}
 		gone := s.now.Sub(max(d.heardAt, d.removalCountedFrom)) > daemonRetention
+		if d.keptSince > 0 && s.now.Sub(max(d.heardAt, d.keptSince)) > daemonRetention {
+			delete(s.daemons, name)
+			continue
+		}
 		if gone && !s.storeDown && s.isFirstAlive() {
 			s.emit(RemoveDaemon{Name: d.Name})
 			d.removalCountedFrom = s.now
--- a/pkg/core/gateway/quotas.go
+++ b/pkg/core/gateway/quotas.go
@@ -84,7 +84,8 @@
 // registered records that this daemon's entry is in the store. A daemon whose entry was not
 // there before has no earlier process that could have used its share of quotas.
 func (s *State) registered(e Registered) {
-	if e.First && !s.members.registeredBefore {
+	// A store that has come back from a copy may have lost the entry of an earlier process.
+	if e.First && !s.members.registeredBefore && s.storeEra == 0 {
 		s.quota.Fresh()
 	}
 	s.members.registeredBefore, s.members.registered = true, true
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -73,10 +73,10 @@
 			created, err = f.register(ctx, entry)
 			return err
 		})
+		f.observeEra(f.store.Era(), true)
 		if err == nil {
 			return created, nil
 		}
-		f.observeEra(f.store.Era(), true)
 		if errors.Is(err, ErrEraChanged) {
 			// The next attempt reads the entry back.
 			continue
