--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -344,6 +344,11 @@
 	LogEvacuationHeld
 	LogQuotaExceeded
 	LogQuotaHolding
+	LogRolloutStarted
+	LogRolloutWithdrawn
+	LogRolloutActing
+	LogRolloutVerdict
+	LogRolloutWriteFailed
 )
 
 // QueryReport summarises how a request was handled.
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -46,7 +46,7 @@
 // askedSince are the positions that the request for the view named.
 func (f *Follower) Adopt(v View, askedSince map[Kind]Position) {
 	f.mergeRetained(v.Retained)
-	for _, kind := range Kinds {
+	for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 		remote, ok := v.Kinds[kind]
 		if !ok {
 			continue
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -182,7 +183,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+viewPath, func(w http.ResponseWriter, r *http.Request) {
 		since := map[Kind]Position{}
-		for _, kind := range Kinds {
+		for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 			// A missing or unreadable position asks for the whole state.
 			if position, err := parsePosition(r.URL.Query().Get(string(kind))); err == nil {
 				since[kind] = position
--- a/pkg/edge/sections.go
+++ b/pkg/edge/sections.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
@@ -19,6 +21,11 @@
 	// maxLoanBytes is the part of the section of quotas that loans may use, with which the
 	// sender answers the receiver; its own demands use the rest.
 	maxLoanBytes = 1 << 10
+	// maxProgressBytes is the part of a section that the progress of roll-outs may take;
+	// that of one takes about 40 bytes.
+	maxProgressBytes = 1 << 10
+	// maxRolloutAge bounds the age of an order that is received.
+	maxRolloutAge = 24 * time.Hour
 	// maxLatencyBuckets bounds the buckets of a histogram that is received.
 	maxLatencyBuckets = 64
 )
@@ -33,8 +40,9 @@
 			EchoIncarnation: x.QuotaEcho.Incarnation, EchoCounter: x.QuotaEcho.Counter,
 		}
 	}
-	if len(x.Rollouts) > 0 {
-		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Evidence: encodeList(x.Rollouts, maxSectionBytes, encodeEvidence)}
+	if len(x.Rollouts)+len(x.Progress) > 0 {
+		progress := encodeList(x.Progress, maxProgressBytes, encodeProgress)
+		out.Rollouts = &gossippb.RolloutSection{Version: sectionVersion, Progress: progress, Evidence: encodeList(x.Rollouts, maxSectionBytes-maxProgressBytes, encodeEvidence)}
 	}
 	if len(x.Capacity) > 0 {
 		out.Capacity = &gossippb.CapacitySection{Version: sectionVersion, Leafs: encodeList(x.Capacity, maxSectionBytes, encodeCapacity)}
@@ -92,7 +100,13 @@
 func encodeEvidence(e gateway.VersionEvidence) *gossippb.VersionEvidence {
 	return &gossippb.VersionEvidence{
 		Service: e.Service, Order: e.Order, Route: e.Route, Target: e.Target, Attempts: e.Attempts, BadAnswers: e.BadAnswers,
-		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs,
+		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs, Leaf: e.Leaf,
+	}
+}
+
+func encodeProgress(p gateway.RolloutProgress) *gossippb.RolloutProgress {
+	return &gossippb.RolloutProgress{
+		Service: p.Service, Order: p.Order, Acting: gossippb.RolloutVerdict(p.Acting), AgeMs: uint64(max(0, p.Age.Milliseconds())), Open: p.Open,
 	}
 }
 
@@ -109,10 +123,17 @@
 	}
 	if r := m.GetRollouts(); r.GetVersion() == sectionVersion {
 		for _, e := range r.GetEvidence() {
-			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
+			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLeaf()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
 				out.Rollouts = append(out.Rollouts, decodeEvidence(e))
 			}
 		}
+		for _, p := range r.GetProgress() {
+			if isName(p.GetService()) && p.GetAgeMs() <= uint64(maxRolloutAge.Milliseconds()) && p.GetActing() >= 0 && p.GetActing() <= gossippb.RolloutVerdict_ROLLOUT_VERDICT_ROLLED_BACK {
+				out.Progress = append(out.Progress, gateway.RolloutProgress{
+					Service: p.GetService(), Order: p.GetOrder(), Acting: rollout.Verdict(p.GetActing()), Age: time.Duration(p.GetAgeMs()) * time.Millisecond, Open: p.GetOpen(),
+				})
+			}
+		}
 	}
 	if c := m.GetCapacity(); c.GetVersion() == sectionVersion {
 		for _, l := range c.GetLeafs() {
@@ -127,7 +148,7 @@
 func decodeEvidence(e *gossippb.VersionEvidence) gateway.VersionEvidence {
 	return gateway.VersionEvidence{
 		Service: e.GetService(), Order: e.GetOrder(), Route: e.GetRoute(), Target: e.GetTarget(), Attempts: e.GetAttempts(), BadAnswers: e.GetBadAnswers(),
-		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(),
+		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(), Leaf: e.GetLeaf(),
 	}
 }
 
--- a/pkg/edge/store.go
+++ b/pkg/edge/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 )
 
 var (
@@ -43,9 +44,11 @@
 	KindServers     Kind = "servers"
 	KindEvacuations Kind = "evacuations"
 	KindDaemons     Kind = "daemons"
+	// KindRollouts is followed only if the settings bound the exposure of new versions.
+	KindRollouts Kind = "rollouts"
 )
 
-// Kinds are all kinds that daemons follow.
+// Kinds are all kinds that all daemons follow.
 var Kinds = []Kind{KindConfig, KindServers, KindEvacuations, KindDaemons}
 
 // Store is the platform's store.
@@ -68,6 +71,10 @@
 	Replace(ctx context.Context, kind Kind, o Object, value any) error
 	// Remove deletes an object.
 	Remove(ctx context.Context, kind Kind, name string) error
+	// WriteVerdict writes the verdict on the order of a service if the order's object still
+	// is as of a position. Otherwise it returns ErrConflict. After another error, except
+	// ErrEraChanged before it was sent, the write may have taken effect, or may do so later.
+	WriteVerdict(ctx context.Context, service string, at Position, target string, verdict rollout.Verdict) error
 }
 
 // Decoder decodes the values of the store's objects.
@@ -79,4 +86,6 @@
 	HideKeys(value json.RawMessage, fromStore bool) (json.RawMessage, error)
 	Config(value json.RawMessage) (*gateway.Config, error)
 	Server(name string, value json.RawMessage) (gateway.Server, error)
+	// Rollout decodes an object of KindRollouts.
+	Rollout(o Object) (gateway.RolloutOrder, error)
 }
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -40,6 +40,8 @@
 			e.FailureDomains = append(e.FailureDomains, name)
 		}
 		f.post(e)
+	case KindRollouts:
+		f.post(f.decodeRollouts(objects))
 	case KindDaemons:
 		e := f.decodeDaemons(objects)
 		e.Era = known.Era
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -143,6 +143,7 @@
 		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
 		Quota:      quota.Bounds{Window: s.Quota.Window, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
 		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
+		Rollout: s.rolloutLimits(),
 	})
 	d.registry = prometheus.NewRegistry()
 	m := NewMetrics(d.registry)
@@ -207,7 +208,7 @@
 // addFollower adds the actors that follow the store and keep this daemon
 // registered in it.
 func (d *daemon) addFollower(ctx context.Context, cancel context.CancelFunc, g *run.Group) {
-	for _, kind := range edge.Kinds {
+	for _, kind := range d.settings.followedKinds() {
 		g.Add(func() error { return d.follower.Follow(ctx, kind) }, func(error) { cancel() })
 	}
 	g.Add(func() error {
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -45,6 +45,12 @@
 	gateway.LogKeysRevoked:     logevent.EdgeKeysRevoked,
 	gateway.LogQuotaExceeded:   logevent.EdgeQuotaExceeded,
 	gateway.LogQuotaHolding:    logevent.EdgeQuotaHolding,
+
+	gateway.LogRolloutStarted:     logevent.EdgeRolloutStarted,
+	gateway.LogRolloutWithdrawn:   logevent.EdgeRolloutWithdrawn,
+	gateway.LogRolloutActing:      logevent.EdgeRolloutActing,
+	gateway.LogRolloutVerdict:     logevent.EdgeRolloutVerdict,
+	gateway.LogRolloutWriteFailed: logevent.EdgeRolloutWriteFailed,
 }
 
 // reducerLog writes the reducer's log entries as log events and counts requests in
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -38,6 +38,12 @@
 	EdgeKeysRevoked      ID = 1761
 	EdgeQuotaExceeded    ID = 1762
 	EdgeQuotaHolding     ID = 1763
+
+	EdgeRolloutStarted     ID = 1770
+	EdgeRolloutWithdrawn   ID = 1771
+	EdgeRolloutActing      ID = 1772
+	EdgeRolloutVerdict     ID = 1773
+	EdgeRolloutWriteFailed ID = 1774
 )
 
 var edgeEvents = []Def{
@@ -75,4 +81,9 @@
 	{EdgeQuotaExceeded, "edge_quota_exceeded", log.InfoLevel, "A request of the tenant in subject was refused because of its quota, the first in ten seconds; number is how many requests this daemon may serve in a window."},
 	{EdgeQuotaHolding, "edge_quota_holding", log.InfoLevel, "The daemons that hold shares of quotas have changed; number counts them, detail says whether this daemon is one."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
+	{EdgeRolloutStarted, "edge_rollout_started", log.InfoLevel, "An order asks for the traffic of the service in subject to be moved to the version in detail within age_ms."},
+	{EdgeRolloutWithdrawn, "edge_rollout_withdrawn", log.InfoLevel, "The order for the version in detail is gone or replaced. Without a verdict its leafs are used only if no others are left."},
+	{EdgeRolloutActing, "edge_rollout_acting", log.WarnLevel, "The daemon acts on a verdict that the store does not have yet: on rolled_back it sends nothing to the version, on completed it sends all requests there."},
+	{EdgeRolloutVerdict, "edge_rollout_verdict", log.InfoLevel, "The store has the verdict on the version of the service in subject."},
+	{EdgeRolloutWriteFailed, "edge_rollout_write_failed", log.WarnLevel, "A verdict could not be written, or the write may have taken effect; the order is read and the write repeated."},
 }
