edge explain: the reducer decides on a copy of its state

Shows the route and the others, tenant and quota, the decision, leafs with the reasons, budgets and what is not known; -fleet compares daemons.

--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -52,17 +52,23 @@
 	if len(query) > 0 {
 		target += "?" + query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	return askDaemon(ctx, e.address, http.MethodGet, target, nil, into)
+}
+
+// askDaemon sends a request to the daemon at address and decodes the JSON reply into the
+// value that into points to.
+func askDaemon(ctx context.Context, address, method, target string, body io.Reader, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
-		return usageError("-daemon: %q is not ip:port", e.address)
+		return usageError("-daemon: %q is not ip:port", address)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: %v", e.address, err), Next: "check the address and that the daemon runs"}
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: %v", address, err), Next: "check the address and that the daemon runs"}
 	}
 	defer resp.Body.Close()
 	if err := json.NewDecoder(resp.Body).Decode(into); err != nil || resp.StatusCode != http.StatusOK {
-		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: status %d, %v", e.address, resp.StatusCode, err), Next: "check that this is the admin address of an edge daemon"}
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: status %d, %v", address, resp.StatusCode, err), Next: "check that this is the admin address of an edge daemon"}
 	}
 	return nil
 }
@@ -198,44 +204,3 @@
 	}
 	return l, nil
 }
-
-// edgeExplainAction shows the route and the leafs that a request would use now.
-type edgeExplainAction struct{ edgeFlag }
-
-type edgeExplanation struct{ gateway.Explanation }
-
-// WriteText implements Result.
-func (e edgeExplanation) WriteText(w io.Writer) error {
-	if e.Route == nil {
-		_, err := fmt.Fprintf(w, "configuration %d has no route for it\n", e.ConfigVersion)
-		return err
-	}
-	r := e.Route
-	out := fmt.Sprintf("configuration %d, view age %d ms\nroute %s: %s%s %s\n", e.ConfigVersion, e.ViewAgeMS, r.Name, r.Host, r.PathPrefix, destination(r))
-	out += fmt.Sprintf("idempotent %v, attempts %d, timeout %v, target %v, hedge after %.0f ms, partial answer at %.0f ms\n",
-		r.Idempotent, r.MaxAttempts, r.Timeout, r.LatencyTarget, e.HedgeAfterMS, e.AnswerByMS)
-	if _, err := io.WriteString(w, out); err != nil {
-		return err
-	}
-	for _, s := range e.Services {
-		if _, err := fmt.Fprintf(w, "service %s: %d leafs, retry budget %.1f, queued %d, %d connections a leaf\n", s.Name, len(s.Leafs), s.RetryTokens, s.Queued, s.Connections); err != nil {
-			return err
-		}
-		if err := edgeLeafs(s.Leafs).WriteText(w); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// Run implements Action.
-func (a *edgeExplainAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
-	if len(args) != 2 {
-		return nil, usageError("want a host and a path")
-	}
-	var e edgeExplanation
-	if err := a.fetchJSON(ctx, edged.ExplainPath, url.Values{"host": {args[0]}, "path": {args[1]}}, &e.Explanation); err != nil {
-		return nil, err
-	}
-	return e, nil
-}
--- a/pkg/cli/edge_test.go
+++ b/pkg/cli/edge_test.go
@@ -27,12 +27,13 @@
 		Routes: []*gateway.Route{
 			{
 				Name: "all", Host: "h.example", PathPrefix: "/a/", Idempotent: true, Shards: []string{"x", "y"}, TopK: 3,
-				MinShardRatio: 0.5, MaxAttempts: 2, LatencyTarget: 100 * time.Millisecond,
+				MinShardRatio: 0.5, MaxAttempts: 2, LatencyTarget: 100 * time.Millisecond, Public: true,
 			},
-			{Name: "one", Host: "h.example", PathPrefix: "/o/", Targets: []gateway.Target{{Service: "x", Weight: 1}}},
+			{Name: "one", Host: "h.example", PathPrefix: "/o/", Targets: []gateway.Target{{Service: "x", Weight: 1}}, Public: true},
+			{Name: "keyed", Host: "h.example", PathPrefix: "/k/", Targets: []gateway.Target{{Service: "x", Weight: 1}}},
 		},
 		Services: map[string]gateway.ServiceConfig{"x": {MaxConnections: 5}, "y": {MaxConnections: 5}},
-	})
+	}, standin.Tenant{Name: "ralo620", Keys: []string{"the key"}, Priority: new(int), RatePerSecond: 19, Burst: 19})
 	store.PutServer(gateway.Server{ID: "i-1", Service: "x", Address: "127.0.0.1:9", FailureDomain: "a", Slots: 2})
 	server := httptest.NewServer(store)
 	ts.Defer(server.Close)
--- a/pkg/core/gateway/choose.go
+++ b/pkg/core/gateway/choose.go
@@ -46,14 +46,15 @@
 	var candidates []*server
 	anyBusy := false
 	for _, srv := range svc.servers {
-		if !s.usable(srv) || !s.inHomeRegion(srv, q.route) || p.tried(srv, false) {
+		if p.tried(srv, false) {
 			continue
 		}
-		if !s.hasCapacity(srv) {
+		switch s.availability(srv, q.route) {
+		case leafAvailable:
+			candidates = append(candidates, srv)
+		case leafBusy:
 			anyBusy = true
-			continue
 		}
-		candidates = append(candidates, srv)
 	}
 	if len(candidates) == 0 && !anyBusy {
 		candidates = s.retryableLeafs(svc, q, p)
@@ -71,6 +72,28 @@
 	return best, leafChosen
 }
 
+// leafAvailability says whether a leaf is a candidate for an attempt.
+type leafAvailability uint8
+
+const (
+	leafAvailable leafAvailability = iota
+	// leafBusy means that the leaf may take an attempt later.
+	leafBusy
+	// leafUnavailable means that the leaf must get no attempt of the route.
+	leafUnavailable
+)
+
+// availability reports whether a leaf can take an attempt of a route now.
+func (s *State) availability(srv *server, r *Route) leafAvailability {
+	switch {
+	case !s.usable(srv) || !s.inHomeRegion(srv, r):
+		return leafUnavailable
+	case !s.hasCapacity(srv):
+		return leafBusy
+	}
+	return leafAvailable
+}
+
 // retryableLeafs returns the leafs on which the part has no open attempt.
 func (s *State) retryableLeafs(svc *service, q *query, p *part) []*server {
 	var out []*server
--- a/pkg/core/gateway/config.go
+++ b/pkg/core/gateway/config.go
@@ -101,12 +101,8 @@
 // Match returns the route of a request, or nil. The port of the host and the query
 // string of the path are ignored.
 func (c *Config) Match(host, path string) *Route {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
 	path, _, _ = strings.Cut(path, "?")
-	for _, r := range c.byHost[host] {
+	for _, r := range c.routesOf(host) {
 		if strings.HasPrefix(path, r.PathPrefix) {
 			return r
 		}
@@ -114,6 +110,16 @@
 	return nil
 }
 
+// routesOf returns the routes of a host, whose port is ignored, in the order in which they
+// are compared.
+func (c *Config) routesOf(host string) []*Route {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return c.byHost[host]
+}
+
 // regions returns the home regions of all routes of a host; nil if some route may run
 // in any region.
 func (c *Config) regions(host string) []string {
--- a/pkg/core/gateway/deepcopy/deepcopy.go
+++ b/pkg/core/gateway/deepcopy/deepcopy.go
@@ -14,13 +14,18 @@
 // which must not be changed by anybody. Pointers and maps that occur several times are
 // copied once. It panics for values that cannot be copied: channels and unsafe pointers.
 func Of[T any](original *T, shared ...reflect.Type) *T {
-	c := copier{shared: map[reflect.Type]bool{}, plain: map[reflect.Type]bool{}, done: map[reference]reflect.Value{}}
+	c := copier{shared: map[reflect.Type]bool{}, plain: map[reflect.Type]bool{}, references: map[reflect.Type][]int{}, done: map[reference]reflect.Value{}}
 	for _, t := range shared {
 		c.shared[t] = true
 	}
 	out := new(T)
 	c.done[reference{unsafe.Pointer(original), reflect.TypeOf(original)}] = reflect.ValueOf(out)
 	c.copy(reflect.ValueOf(out).Elem(), reflect.ValueOf(original).Elem())
+	for len(c.pending) > 0 {
+		last := c.pending[len(c.pending)-1]
+		c.pending = c.pending[:len(c.pending)-1]
+		c.copy(last.dst, last.src)
+	}
 	return out
 }
 
@@ -30,11 +35,18 @@
 	t       reflect.Type
 }
 
+// pendingCopy is a value that a pointer leads to and that is copied later: copying it at once
+// would need a stack as deep as the state is large.
+type pendingCopy struct{ dst, src reflect.Value }
+
 type copier struct {
-	shared map[reflect.Type]bool
+	pending []pendingCopy
+	shared  map[reflect.Type]bool
 	// plain caches whether values of a type hold no references.
 	plain map[reflect.Type]bool
-	done  map[reference]reflect.Value
+	// references caches the fields of a struct that hold references.
+	references map[reflect.Type][]int
+	done       map[reference]reflect.Value
 }
 
 // copy copies src into dst, which is zero. Both are addressable, and values of fields that
@@ -57,8 +69,11 @@
 			c.copy(dst.Index(i), src.Index(i))
 		}
 	case reflect.Struct:
-		for i := range t.NumField() {
-			c.copy(field(dst, i), field(src, i))
+		dst.Set(src)
+		for _, i := range c.referencesOf(t) {
+			f := field(dst, i)
+			f.SetZero()
+			c.copy(f, field(src, i))
 		}
 	case reflect.Interface:
 		if !src.IsNil() {
@@ -82,18 +97,24 @@
 }
 
 func (c *copier) copyPointer(dst, src reflect.Value) {
-	if src.IsNil() {
-		return
+	if !src.IsNil() {
+		dst.Set(c.copied(src))
+	}
+}
+
+// copied returns the copy of a pointer that is not nil.
+func (c *copier) copied(src reflect.Value) reflect.Value {
+	if c.shared[src.Type()] {
+		return src
 	}
 	ref := reference{src.UnsafePointer(), src.Type()}
 	if known, ok := c.done[ref]; ok {
-		dst.Set(known)
-		return
+		return known
 	}
 	out := reflect.New(src.Type().Elem())
 	c.done[ref] = out
-	dst.Set(out)
-	c.copy(out.Elem(), src.Elem())
+	c.pending = append(c.pending, pendingCopy{out.Elem(), src.Elem()})
+	return out
 }
 
 func (c *copier) copyMap(dst, src reflect.Value) {
@@ -109,7 +130,18 @@
 	c.done[ref] = out
 	dst.Set(out)
 	for entries := src.MapRange(); entries.Next(); {
-		out.SetMapIndex(c.copyOf(entries.Key()), c.copyOf(entries.Value()))
+		key, value := entries.Key(), entries.Value()
+		if !c.isPlain(key.Type()) {
+			key = c.copyOf(key)
+		}
+		switch {
+		case c.isPlain(value.Type()):
+		case value.Kind() == reflect.Pointer && !value.IsNil():
+			value = c.copied(value)
+		default:
+			value = c.copyOf(value)
+		}
+		out.SetMapIndex(key, value)
 	}
 }
 
@@ -134,6 +166,21 @@
 	return reflect.NewAt(f.Type(), f.Addr().UnsafePointer()).Elem()
 }
 
+// referencesOf returns the fields of a struct that hold references.
+func (c *copier) referencesOf(t reflect.Type) []int {
+	if known, ok := c.references[t]; ok {
+		return known
+	}
+	var out []int
+	for i := range t.NumField() {
+		if !c.isPlain(t.Field(i).Type) {
+			out = append(out, i)
+		}
+	}
+	c.references[t] = out
+	return out
+}
+
 // isPlain reports whether values of a type hold no references to memory that can change.
 func (c *copier) isPlain(t reflect.Type) bool {
 	if known, ok := c.plain[t]; ok {
--- a/pkg/core/gateway/inspect.go
+++ b/pkg/core/gateway/inspect.go
@@ -79,57 +79,6 @@
 	return out
 }
 
-// Explanation shows how a request for a host and path would be handled now.
-type Explanation struct {
-	ConfigVersion uint64  `json:"configVersion"`
-	ViewAgeMS     int64   `json:"viewAgeMs"`
-	Route         *Route  `json:"route"`
-	HedgeAfterMS  float64 `json:"hedgeAfterMs"`
-	AnswerByMS    float64 `json:"answerByMs"`
-	// Services are the services of the route and their leafs.
-	Services []ServiceStatus `json:"services"`
-}
-
-// ServiceStatus is what a daemon knows about a service.
-type ServiceStatus struct {
-	Name string `json:"name"`
-	// RetryTokens is the remaining retry budget, in attempts.
-	RetryTokens float64      `json:"retryTokens"`
-	Connections int          `json:"connectionsPerLeaf"`
-	Queued      int          `json:"queued"`
-	Leafs       []LeafStatus `json:"leafs"`
-}
-
-// Explain shows how a request for a host and path would be handled now. The route is
-// nil if none matches.
-func (s *State) Explain(host, path string) Explanation {
-	e := Explanation{ConfigVersion: s.Version(), ViewAgeMS: s.viewAge().Milliseconds()}
-	if s.config == nil {
-		return e
-	}
-	e.Route = s.config.Match(host, path)
-	if e.Route == nil {
-		return e
-	}
-	services := e.Route.Shards
-	if len(services) > 0 {
-		e.AnswerByMS = milliseconds(s.partialAnswerDelay(e.Route, 0))
-	}
-	for _, t := range e.Route.Targets {
-		services = append(services, t.Service)
-	}
-	if e.Route.Idempotent && e.Route.MaxAttempts > 1 {
-		e.HedgeAfterMS = milliseconds(s.hedgeDelay(e.Route, 0))
-	}
-	for _, name := range services {
-		svc := s.service(name)
-		e.Services = append(e.Services, ServiceStatus{
-			Name: name, RetryTokens: svc.retryTokens, Connections: s.maxConnections(svc), Queued: len(svc.queue), Leafs: s.Leafs(name),
-		})
-	}
-	return e
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // Routes returns the version and the routes of the configuration in use.
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -219,23 +219,29 @@
 }
 
 func writeRefusal(w http.ResponseWriter, e *gateway.Refuse) {
-	status := http.StatusServiceUnavailable
-	switch e.Reason {
-	case gateway.RefusalUnauthorized:
-		status = http.StatusUnauthorized
+	if e.Reason == gateway.RefusalUnauthorized {
 		w.Header().Set("WWW-Authenticate", "ApiKey")
-	case gateway.RefusalQuota:
-		status = http.StatusTooManyRequests
-	case gateway.RefusalNoRoute:
-		status = http.StatusNotFound
-	case gateway.RefusalFailed:
-		status = http.StatusBadGateway
-	case gateway.RefusalDeadline:
-		status = http.StatusGatewayTimeout
 	}
 	if e.Reason.NotRun() && e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	writeBody(w, status, []byte(e.Reason.String()+"\n"))
+	writeBody(w, refusalStatus(e.Reason), []byte(e.Reason.String()+"\n"))
+}
+
+// refusalStatus returns the status of the answer to a refused request.
+func refusalStatus(reason gateway.Refusal) int {
+	switch reason {
+	case gateway.RefusalUnauthorized:
+		return http.StatusUnauthorized
+	case gateway.RefusalQuota:
+		return http.StatusTooManyRequests
+	case gateway.RefusalNoRoute:
+		return http.StatusNotFound
+	case gateway.RefusalFailed:
+		return http.StatusBadGateway
+	case gateway.RefusalDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
 }
--- a/pkg/edged/admin.go
+++ b/pkg/edged/admin.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/edge"
+	"github.com/pistachiousher/pistachiousher/pkg/logevent"
 )
 
 // Paths served on the admin address.
@@ -15,7 +18,7 @@
 	StatusPath  = "/status"
 	RoutesPath  = "/routes"
 	LeafsPath   = "/leafs"
-	ExplainPath = "/explain"
+	ExplainPath = edge.ExplainPath
 	// RolloutsPath serves the orders of roll-outs.
 	RolloutsPath = "/rollouts"
 )
@@ -54,12 +57,27 @@
 		return s.Leafs(r.URL.Query().Get("service"))
 	}))
 	mux.HandleFunc("GET "+RolloutsPath, d.inspectHandler(func(s *gateway.State, _ *http.Request) any { return s.Rollouts() }))
-	mux.HandleFunc("GET "+ExplainPath, d.inspectHandler(func(s *gateway.State, r *http.Request) any {
-		return s.Explain(r.URL.Query().Get("host"), r.URL.Query().Get("path"))
-	}))
+	mux.Handle(ExplainPath, d.explainer)
+	return mux
+}
+
+// peerHandler serves other daemons and, for operators who compare the daemons of a fleet,
+// explanations.
+func (d *daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", d.peers.Handler())
+	mux.Handle(ExplainPath, d.explainer)
 	return mux
 }
 
+// logExplained counts and logs an explanation.
+func (d *daemon) logExplained(m *Metrics) func(time.Duration) {
+	return func(stopped time.Duration) {
+		m.explanations.Inc()
+		d.log.Write(logevent.EdgeExplained, []logevent.Field{logevent.Int("elapsed_us", stopped.Microseconds())})
+	}
+}
+
 // inspectHandler replies with the JSON form of what answer returns. That value is
 // encoded after the reducer's lock was released, so it must not share memory that
 // the reducer changes.
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -82,6 +82,7 @@
 	runtime      *edge.Runtime
 	follower     *edge.Follower
 	peers        *edge.Peers
+	explainer    *edge.Explainer
 	pool         *leafconn.Pool
 	budget       *leafconn.Budget
 	log          *logwriter.Writer
@@ -155,6 +156,7 @@
 		Core: core, Protocol: p.Protocol, Pool: d.pool, Budget: d.budget, Log: coreLog.write, Observer: m, Lag: lagProbe.Lag, OnPanic: d.logPanic,
 		OnLimits: func(l gateway.Limits) { d.callerConns.SetIdleLimit(l.IdleTimeout) },
 	})
+	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
 		OnInvalid: d.logInvalidObject, Rank: d.runtime.StoreRank,
--- a/pkg/edged/listeners.go
+++ b/pkg/edged/listeners.go
@@ -52,7 +52,7 @@
 	if l.admin != nil {
 		d.addServer(g, "admin", d.adminHandler(), l.admin, maxAdminConns)
 	}
-	d.addServer(g, "view", d.peers.Handler(), l.view, maxViewConns)
+	d.addServer(g, "view", d.peerHandler(), l.view, maxViewConns)
 }
 
 // Limits of all listeners except the one for callers.
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -59,6 +59,7 @@
 	callTime      *prometheus.HistogramVec
 	storeCalls    *prometheus.CounterVec
 	connsOpened   prometheus.Counter
+	explanations  prometheus.Counter
 	services      labelValues
 	routes        labelValues
 }
@@ -86,6 +87,8 @@
 	}
 	m.connsOpened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
 	r.MustRegister(m.connsOpened)
+	m.explanations = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_explanations_total", Help: "Requests that were explained and not sent."})
+	r.MustRegister(m.explanations)
 	return m
 }
 
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -32,6 +32,7 @@
 	EdgeRegistrationDone ID = 1745
 	EdgeStoreCopied      ID = 1746
 	EdgeEvacuationHeld   ID = 1747
+	EdgeExplained        ID = 1748
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
 	EdgeTenantsChanged   ID = 1760
@@ -75,6 +76,7 @@
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry was written to the store."},
 	{EdgeStoreCopied, "edge_store_copied", log.WarnLevel, "The store names a new era: it came back from a copy and may lack its last writes. All kinds are listed again; what was in force stays in force."},
 	{EdgeEvacuationHeld, "edge_evacuation_held", log.WarnLevel, "The store no longer shows an evacuation since it came back from a copy. It stays in force until the operator's next word, two minutes at most."},
+	{EdgeExplained, "edge_explained", log.InfoLevel, "An operator asked how a request would be handled; no request was sent. No decisions were made for elapsed_us, while the state was copied."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeTenantsChanged, "edge_tenants_changed", log.InfoLevel, "The tenants of a new configuration are in force; number counts them, detail the keys that were added, removed, or given to another tenant."},
 	{EdgeKeysRevoked, "edge_keys_revoked", log.WarnLevel, "Keys were removed while requests with them waited; number counts the requests, which are refused or get no further attempt."},
