--- a/pkg/core/gateway/explain_test.go
+++ b/pkg/core/gateway/explain_test.go
@@ -19,7 +19,7 @@
 	m.s = New(Options{
 		Self:     DaemonEntry{Name: "d1", Incarnation: 1, PeerAddress: "d1:70", CallerAddress: "d1:80", FailureDomain: "a"},
 		RegionOf: map[string]string{"a": "north", "b": "south"}, RetryRatio: 0.2, RetrySlack: 20, MaxSilence: time.Second, Seed: rapid.Uint64().Draw(t, "seed"),
-		Quota:   quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 1},
+		Quota:   quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1},
 		Rollout: &RolloutLimits{Share: 0.1, Slack: 50, OrderWithin: time.Second},
 	})
 	return m
@@ -31,7 +31,7 @@
 	m.version++
 	c := &Config{Version: m.version, Services: map[string]ServiceConfig{}, Tenants: []*tenant.Tenant{
 		{Name: "t1", Keys: []tenant.KeyHash{tenant.HashKey("k1")}, Priority: 1, HasPriority: true},
-		{Name: "t2", Keys: []tenant.KeyHash{tenant.HashKey("k2")}, RatePerSecond: 0.2, Burst: 1},
+		{Name: "t2", Keys: []tenant.KeyHash{tenant.HashKey("k2")}, RatePerSecond: 0.2},
 	}}
 	for path, r := range invariantRoutes {
 		route := *r
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -86,6 +86,9 @@
 	f.Add(`{"kinds":{"servers":{"revision":9,"changed":9,"objects":{"i-2":{"name":"i-2","revision":9,"value":{}}},"deleted":{"i-3":8},"since":4}}}`)
 	f.Add(`{"kinds":{"servers":{"revision":9,"objects":null,"deleted":null}},"afterOutage":true}`)
 	f.Add(`{"kinds":{"config":{"revision":18446744073709551615,"objects":{"main":{"name":"main","value":{"version":7}}}}}}`)
+	f.Add(`{"kinds":{"servers":{"revision":2,"era":5,"objects":{"i-1":{"name":"i-1","revision":2,"era":5,"value":{"Sequence":3}}},"deleted":{}}},"era":5}`)
+	f.Add(`{"kinds":{"evacuations":{"revision":2,"era":5}},"era":5,"retained":{"servers":{"i-1":{"object":{"name":"i-1","era":4,"value":{"Sequence":9}},"gone":true}},"evacuations":{"a":{"object":{"name":"a","era":4},"sinceMs":-1}}}}`)
+	f.Add(`{"retained":{"servers":{"":{"object":{"name":"","value":null}}},"config":{"main":{"object":{"name":"x"}}},"daemons":{"d":{}}}}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		var view View
 		if json.Unmarshal([]byte(text), &view) != nil {
