--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -15,7 +15,7 @@
 	// slackShare is the part of the slack that daemons divide among themselves. The rest,
 	// and the overshoot, cover restarts and the moments in which daemons differ about who
 	// holds a share.
-	slackShare = 0.75
+	slackShare = 0.4
 	// loanLifetime is how long a loan is used after the borrower sent the message that the
 	// lender answered. Three full messages may be lost.
 	loanLifetime = 1500 * time.Millisecond
