quota: whole requests as shares, pace of requests, loans by average demand

- Shares are whole numbers of requests that differ by tenant, so that no part of an allowance is lost by rounding.
- Large shares are paced, so that a restarted process need not count its whole share as spent for a whole window.
- Loans follow the average demand: loans for the variation of independent requests locked more at the lenders than they brought.
- A share that an earlier process of a borrower may have used is not lent to its successor.

--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -4,6 +4,7 @@
 package quota
 
 import (
+	"hash/fnv"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -15,10 +16,13 @@
 	// slackShare is the part of the slack that daemons divide among themselves. The rest,
 	// and the overshoot, cover restarts and the moments in which daemons differ about who
 	// holds a share.
-	slackShare = 0.75
+	slackShare = 0.6
 	// loanLifetime is how long a loan is used after the borrower sent the message that the
 	// lender answered. Three full messages may be lost.
 	loanLifetime = 1500 * time.Millisecond
+	// rounding keeps a sum of shares that make up a whole request from falling short of it;
+	// messages have shares in single precision.
+	rounding = 1e-3
 	// maxIdle is how long a tenant's account is kept after its last request. It must
 	// exceed the window.
 	maxIdle = 2 * time.Minute
@@ -39,17 +43,24 @@
 
 // Holding is what a daemon holds without asking others.
 type Holding struct {
-	// Holders is the number of daemons that hold equal shares, Index the place of this one
-	// among them; -1 if it is not one of them.
+	// Holders is the number of daemons that hold shares, Index the place of this one among
+	// them; -1 if it is not one of them.
 	Holders, Index int
 }
 
-// share is the share of each allowance that the daemon holds.
-func (h Holding) share() float64 {
+// part returns this daemon's part of n requests of a tenant. Holders have equal parts, and
+// the rest falls to some of them, to other ones for another tenant.
+func (h Holding) part(n int, tenant string) int {
 	if h.Index < 0 || h.Holders <= 0 {
 		return 0
 	}
-	return 1 / float64(h.Holders)
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(tenant))
+	out := n / h.Holders
+	if (h.Index+int(hash.Sum32()%uint32(h.Holders)))%h.Holders < n%h.Holders {
+		out++
+	}
+	return out
 }
 
 // State is what one daemon knows of the quotas. It is not safe for concurrent use.
@@ -109,7 +120,7 @@
 	a := s.account(now, tenant, l)
 	a.arrivals.add(now, s.slot(), 1)
 	defer s.updateWant(now, a)
-	if a.admitted.total+1 <= s.limit(now, a) {
+	if a.admitted.total < s.limit(now, a) && s.isPaced(now, a) {
 		a.admitted.add(now, s.slot(), 1)
 		return Decision{OK: true}
 	}
@@ -133,7 +144,7 @@
 	s.prune(now)
 	a, ok := s.accounts[tenant]
 	if !ok {
-		a = &account{tenant: tenant, lent: map[string][]loan{}, borrowed: map[string]loan{}}
+		a = &account{tenant: tenant, lent: map[process][]loan{}, borrowed: map[string]loan{}}
 		s.accounts[tenant] = a
 	}
 	a.limits, a.usedAt = l, now
@@ -171,35 +182,31 @@
 	return (l.RatePerSecond*s.bounds.Window.Seconds()+l.Burst)*s.bounds.Overshoot + (1-slackShare)*s.bounds.Slack
 }
 
+// share is the share of a tenant's allowance that this daemon holds, a whole number of
+// requests in a window.
+func (s *State) share(a *account) float64 {
+	allowance := s.allowance(a.limits)
+	return float64(s.holding.part(int(allowance+rounding), a.tenant)) / allowance
+}
+
 // restartAllowance is the number of requests of a tenant that a process admits while its
 // share may have been spent by an earlier one. All holders together stay within the
 // reserve.
-func (s *State) restartAllowance(l Limits) float64 {
-	if s.holding.Index < 0 || s.holding.Holders <= 0 {
-		return 0
-	}
-	reserve := int(s.reserve(l))
-	out := reserve / s.holding.Holders
-	if s.holding.Index < reserve%s.holding.Holders {
-		out++
-	}
-	return float64(out)
+func (s *State) restartAllowance(a *account) float64 {
+	return float64(s.holding.part(int(s.reserve(a.limits)+rounding), a.tenant))
 }
 
 // own is the share of a tenant's allowance that this daemon holds and has not lent.
 func (s *State) own(now model.Time, a *account) float64 {
-	share := s.holding.share()
+	share := s.share(a)
 	if now < s.spentUntil {
-		return min(share, s.restartAllowance(a.limits)/s.allowance(a.limits))
+		return min(share, s.unspent(now, a)+s.restartAllowance(a)/s.allowance(a.limits))
 	}
 	return max(0, share-s.lent(now, a))
 }
 
 // limit is the number of requests of a tenant that this daemon admits in a window.
 func (s *State) limit(now model.Time, a *account) int {
-	// The margin keeps a sum of shares that make up a whole request from falling short of
-	// it by rounding; messages have shares in single precision.
-	const rounding = 1e-3
 	return int(s.allowance(a.limits)*(s.own(now, a)+a.borrowedShare(now)) + rounding)
 }
 
@@ -210,7 +217,7 @@
 	at := now.Add(s.bounds.Window)
 	switch {
 	case limit > 0:
-		at = a.admitted.below(limit, s.slot())
+		at = max(a.admitted.below(limit, windowSlots, s.slot()), s.pacedAt(now, a))
 	case now < s.spentUntil:
 		at = s.spentUntil
 	case a.want > 0:
@@ -236,12 +243,12 @@
 	refused     uint64
 	refusedAt   model.Time
 	nextRetryAt model.Time
-	// peak is the greatest number of arrivals in a window, at peakAt, which is forgotten by
-	// and by.
-	peak   float64
-	peakAt model.Time
+	// mean is the average number of arrivals in a window at meanFrom, peak the greatest that
+	// was far above the share, at peakAt.
+	mean, peak       float64
+	meanFrom, peakAt model.Time
 	// lent are the loans of this daemon by borrower, borrowed those to it by lender.
-	lent     map[string][]loan
+	lent     map[process][]loan
 	borrowed map[string]loan
 	// want is the share that this daemon needs beyond its own.
 	want float64
@@ -306,12 +313,16 @@
 	return sum
 }
 
-// below returns the time at which the count falls below a limit, which is at least 1.
-func (w *window) below(limit int, slot time.Duration) model.Time {
-	left := w.total
-	number := max(0, w.last-windowSlots)
+// below returns the time at which the count in the latest slots, and in the one before them,
+// falls below a limit, which is at least 1.
+func (w *window) below(limit int, slots int64, slot time.Duration) model.Time {
+	left := w.since(slots + 1)
+	if left < limit {
+		return 0
+	}
+	number := max(0, w.last-slots)
 	for ; left >= limit && number <= w.last; number++ {
 		left -= int(w.slots[number%int64(len(w.slots))])
 	}
-	return model.Time((number + windowSlots) * int64(slot))
+	return model.Time((number + slots) * int64(slot))
 }
