--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	// silentCopies makes running watches break off silently when the store comes back from
 	// a copy.
 	silentCopies bool
+	// rolloutLimits, if set before the daemons start, makes them follow roll-outs.
+	rolloutLimits *gateway.RolloutLimits
 }
 
 // modelDaemon is one VM with its daemon; run holds nil while no process runs.
@@ -128,6 +131,7 @@
 	run.runtime = New(Config{
 		Core: gateway.New(gateway.Options{
 			Self: self, RegionOf: regions, RetryRatio: 0.2, RetrySlack: 40, MaxSilence: 1200 * time.Millisecond, Seed: rand.Uint64(), Seeds: seeds, IsSeed: d.seed,
+			Rollout: d.fleet.rolloutLimits,
 		}),
 		Pool: leafconn.NewPool(nil, leafconn.NewBudget(1<<20)), Log: func(gateway.Log) {}, OnLimits: func(gateway.Limits) {}, OnPanic: onPanic,
 	})
@@ -137,7 +141,11 @@
 	})
 	run.runtime.Link(run, run.follower)
 	d.run.Store(run)
-	for _, kind := range Kinds {
+	kinds := Kinds
+	if d.fleet.rolloutLimits != nil {
+		kinds = append(slices.Clone(kinds), KindRollouts)
+	}
+	for _, kind := range kinds {
 		go func() { _ = run.follower.Follow(ctx, kind) }()
 	}
 	go func() { _ = run.follower.KeepRegistered(ctx, d.entry, func() {}) }()
@@ -248,7 +256,7 @@
 func (modelDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
 	var order gateway.RolloutOrder
 	err := json.Unmarshal(o.Value, &order)
-	order.Revision = o.Revision
+	order.Revision, order.Era = o.Revision, o.Era
 	return order, err
 }
 
