--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -112,7 +112,11 @@
 func (s edgeStatus) WriteText(w io.Writer) error {
 	st := s.Status
 	out := fmt.Sprintf("%s: ready %v, configuration %d, leafs revision %d, evacuations revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.View.Servers, st.View.Evacuations, st.ViewAge)
-	out += fmt.Sprintf("store: watched %v, down %v\n", st.Watcher, st.StoreDown)
+	out += fmt.Sprintf("store: watched %v, down %v", st.Watcher, st.StoreDown)
+	if st.StoreEra > 0 {
+		out += fmt.Sprintf(", era %d, %d evacuations held", st.StoreEra, st.HeldEvacuations)
+	}
+	out += "\n"
 	out += fmt.Sprintf("leafs: %d, cold %d, suspect %d\n", st.Leafs, st.ColdLeafs, st.SuspectLeafs)
 	out += fmt.Sprintf("open: %d requests, %d calls, %d queued; least retry budget %.1f, throttle %.2f, share %.3f\n",
 		st.OpenRequests, st.OpenCalls, st.Queued, st.LeastTokens, st.Throttle, st.Share)
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -73,6 +73,10 @@
 	if len(remote) == 0 {
 		return
 	}
+	for name, r := range remote[KindConfig] {
+		f.hideKeysOf(KindConfig, &r.Object, sourceDaemon)
+		remote[KindConfig][name] = r
+	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	for _, kind := range f.adoptRetained(remote) {
--- a/pkg/edge/era_test.go
+++ b/pkg/edge/era_test.go
@@ -154,3 +154,29 @@
 	}
 	return fmt.Errorf("%w: answered in era 5", ErrEraChanged)
 }
+
+// Guards against keys of tenants that are kept and passed on in a retained configuration of
+// a daemon that does not hide them.
+func TestRetainedKeysAreHidden(t *testing.T) {
+	f := NewFollower(FollowerConfig{
+		Store: newFakeStore(), Decoder: hidingDecoder{}, Post: func(gateway.Event) {}, OnInvalid: func(Kind, string, error) {},
+		Rank: func() (int, int) { return 0, 1 },
+	})
+	f.replaceState(KindConfig, newKindState([]Object{{Name: configName, Era: 5, Revision: 1, Value: json.RawMessage(`{"Version":7}`)}}, Position{5, 1}), sourceStore, false)
+	f.Adopt(View{Era: 5, Retained: map[Kind]map[string]Retained{KindConfig: {configName: {Object: Object{Name: configName, Era: 4, Value: json.RawMessage(`{"Version":8,"key":"k"}`)}}}}}, nil)
+	if got := string(f.RetainedObjects()[KindConfig][configName].Object.Value); got != `{"Version":8}` {
+		t.Errorf("retained: %s", got)
+	}
+}
+
+// hidingDecoder replaces each configuration by one without keys.
+type hidingDecoder struct{ modelDecoder }
+
+// HideKeys implements Decoder.
+func (hidingDecoder) HideKeys(value json.RawMessage, _ bool) (json.RawMessage, error) {
+	var c gateway.Config
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, err
+	}
+	return json.RawMessage(fmt.Sprintf(`{"Version":%d}`, c.Version)), nil
+}
