quota: large tenants leave more of the slack for restarted daemons

After all daemons had been killed, requests were refused for a window, since each new process has only a part of what the bound allows beyond the allowance.

--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -12,10 +12,14 @@
 const (
 	// defaultWindow is used if the settings do not state one.
 	defaultWindow = 5 * time.Second
-	// slackShare is the part of the slack that daemons divide among themselves. The rest,
-	// and the overshoot, cover restarts and the moments in which daemons differ about who
-	// holds a share.
-	slackShare = 0.4
+	// slackShare is the part of the slack that daemons divide among themselves for tenants
+	// whose limit in a window is at most fullSlackRatio times the slack: a daemon's share of
+	// their limit is a few requests or less. The others need less of it, in the ratio of
+	// their limits; with less for them, requests of the largest tenants were refused below
+	// their limit. The rest, and the overshoot, cover restarts and the moments in which
+	// daemons differ about who holds a share.
+	fullSlackRatio = 4.0
+	slackShare = 0.75
 	// loanLifetime is how long a loan is used after the borrower sent the message that the
 	// lender answered. Three full messages may be lost.
 	loanLifetime = 1500 * time.Millisecond
@@ -162,13 +166,22 @@
 // allowance is the number of requests of a tenant that all daemons together admit in each
 // window.
 func (s *State) allowance(l Limits) float64 {
-	return l.RatePerSecond*s.bounds.Window.Seconds() + l.Burst + slackShare*s.bounds.Slack
+	return s.limitInWindow(l) + s.dividedSlack(l)
+}
+
+func (s *State) limitInWindow(l Limits) float64 {
+	return l.RatePerSecond*s.bounds.Window.Seconds() + l.Burst
+}
+
+// dividedSlack is the part of the slack that belongs to the allowance.
+func (s *State) dividedSlack(l Limits) float64 {
+	return slackShare * s.bounds.Slack * min(1, fullSlackRatio*s.bounds.Slack/max(1, s.limitInWindow(l)))
 }
 
 // reserve is the number of requests in each window that the bound allows beyond the
 // allowance.
 func (s *State) reserve(l Limits) float64 {
-	return (l.RatePerSecond*s.bounds.Window.Seconds()+l.Burst)*s.bounds.Overshoot + (1-slackShare)*s.bounds.Slack
+	return s.limitInWindow(l)*s.bounds.Overshoot + s.bounds.Slack - s.dividedSlack(l)
 }
 
 // restartAllowance is the number of requests of a tenant that a process admits while its
