--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -19,7 +19,7 @@
 	// their limit. The rest, and the overshoot, cover restarts and the moments in which
 	// daemons differ about who holds a share.
 	fullSlackRatio = 4.0
-	slackShare = 0.75
+	slackShare     = 0.75
 	// loanLifetime is how long a loan is used after the borrower sent the message that the
 	// lender answered. Three full messages may be lost.
 	loanLifetime = 1500 * time.Millisecond
@@ -211,8 +211,8 @@
 // limit is the number of requests of a tenant that this daemon admits in a window.
 func (s *State) limit(now model.Time, a *account) int {
 	// The margin keeps a sum of shares that make up a whole request from falling short of
-	// it by rounding.
-	const rounding = 1e-9
+	// it by rounding; messages have shares in single precision.
+	const rounding = 1e-3
 	return int(s.allowance(a.limits)*(s.own(now, a)+a.borrowedShare(now)) + rounding)
 }
 
