--- a/pkg/core/gateway/explain_test.go
+++ b/pkg/core/gateway/explain_test.go
@@ -57,6 +57,11 @@
 // against one that changes the state. A state is compared with a copy made before.
 func TestExplainAgreesWithDecision(t *testing.T) {
 	states, refused, queued, sent := 0, map[string]int{}, 0, 0
+	requests := 15
+	if testing.Short() {
+		// rapid makes a fifth of the checks.
+		requests *= 5
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		m := explainedMachine(t)
 		if rapid.IntRange(0, 9).Draw(t, "configured") > 0 {
@@ -78,7 +83,7 @@
 		if rapid.Bool().Draw(t, "rollout") {
 			m.startRollout(t)
 		}
-		for i := range 15 {
+		for i := range requests {
 			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
 			key := rapid.SampledFrom([]string{"", "k1", "k2", "k2", "k2", "unknown"}).Draw(t, "key")
 			path := rapid.SampledFrom([]string{"/r/", "/u/", "/t/", "/a/", "/none/"}).Draw(t, "path")
