--- a/pkg/cli/edge_explain_test.go
+++ b/pkg/cli/edge_explain_test.go
@@ -14,7 +14,7 @@
 		e := gateway.Explanation{Daemon: daemon, ConfigVersion: version, Route: &gateway.Route{Name: "r"}, Decision: gateway.Decision{Admitted: true}}
 		svc := gateway.ServiceExplanation{Name: "x"}
 		for i, id := range leafs {
-			svc.Leafs = append(svc.Leafs, gateway.LeafExplanation{LeafStatus: gateway.LeafStatus{ID: id}, Version: "v1", Chosen: i == 0})
+			svc.Leafs = append(svc.Leafs, gateway.LeafExplanation{LeafStatus: gateway.LeafStatus{ID: id, Version: "v1"}, Chosen: i == 0})
 		}
 		e.Services = append(e.Services, svc)
 		return e
--- a/pkg/core/gateway/explain.go
+++ b/pkg/core/gateway/explain.go
@@ -126,7 +126,6 @@
 // LeafExplanation is what speaks for or against a leaf.
 type LeafExplanation struct {
 	LeafStatus
-	Version string `json:"version"`
 	// Chosen means that the request would be sent there.
 	Chosen bool `json:"chosen"`
 	// Reason is why the leaf is not chosen.
--- a/pkg/core/gateway/explain_test.go
+++ b/pkg/core/gateway/explain_test.go
@@ -51,6 +51,8 @@
 func (m *stateMachine) startRollout(t *rapid.T) {
 	m.step(t, RolloutsListed{Orders: []RolloutOrder{{Service: "s0", Target: "v2", Duration: 10 * time.Second, Created: 5, Revision: 5}}})
 	m.step(t, ServerChanged{Server: Server{ID: "i0", Service: "s0", Address: "10.1.0.1:80", FailureDomain: "a", Slots: 2, Version: "v2"}})
+	// Only a daemon that hears others samples the new version.
+	m.step(t, GossipReceived{Daemons: []DaemonEntry{{Name: "d2", Incarnation: 1, Counter: 1, CallerAddress: "d2:80", PeerAddress: "d2:70", FailureDomain: "b", State: DaemonReady, Cores: 0.4}}})
 }
 
 // Guards against an explanation that differs from the decision on the same request, and
@@ -245,3 +247,30 @@
 		})
 	}
 }
+
+// Guards against an explanation that does not tell that a leaf waits for a roll-out.
+func TestExplanationShowsRollout(t *testing.T) {
+	h := newHarnessWith(t, Options{Rollout: &RolloutLimits{Share: 0.1, Slack: 50, OrderWithin: 5 * time.Second}})
+	h.configure(7, map[string]ServiceConfig{"x": {MaxConnections: 10}}, plainRoute("/a/", "x"))
+	server := func(id, version string) Server {
+		return Server{ID: id, Service: "x", Address: "10.1.0.1:80", FailureDomain: "a", Slots: 4, Version: version}
+	}
+	h.step(ServersListed{Servers: []Server{server("old", "v1")}})
+	h.advance(10 * time.Second)
+	h.step(ServerChanged{Server: server("new", "v2")})
+	h.step(RolloutsListed{Orders: []RolloutOrder{{Service: "x", Target: "v2", Duration: 10 * time.Second, Created: 5, Revision: 5}}})
+	sampled := h.s.Copy().Explain(h.now, ExplainRequest{Host: "h", Path: "/a/"})
+	if attempts := sampled.Decision.Attempts; len(attempts) != 1 || attempts[0].Leaf != "new" {
+		t.Errorf("attempts %+v, want one at the sampled leaf", attempts)
+	}
+	// Without contact nothing is sampled.
+	h.step(StoreReached{Cause: "down"})
+	e := h.s.Copy().Explain(h.now, ExplainRequest{Host: "h", Path: "/a/"})
+	svc := e.Services[0]
+	if svc.Rollout == nil || svc.Rollout.Target != "v2" || svc.Rollout.State != "running" {
+		t.Errorf("roll-out %+v", svc.Rollout)
+	}
+	if len(svc.Leafs) != 2 || svc.Leafs[0].ID != "old" || !svc.Leafs[0].Chosen || svc.Leafs[1].Reason != "its version gets no requests, or only sampled ones" {
+		t.Errorf("leafs %+v", svc.Leafs)
+	}
+}
--- a/pkg/core/gateway/explainleafs.go
+++ b/pkg/core/gateway/explainleafs.go
@@ -49,7 +49,7 @@
 	for _, srv := range svc.servers {
 		load := s.estimatedLoad(srv)
 		x := LeafExplanation{
-			LeafStatus: status[srv.ID], Version: srv.Version, Cost: s.attemptCost(srv, typical), availability: s.availability(srv, r),
+			LeafStatus: status[srv.ID], Cost: s.attemptCost(srv, typical), availability: s.availability(srv, r),
 			Chosen:     slices.Contains(attempts, PlannedAttempt{Service: svc.name, Leaf: srv.ID}),
 			ExpectedMS: milliseconds(typical) * srv.expectedRatio(load), WaitMS: milliseconds(typical) * (srv.expectedRatio(load) - srv.expectedRatio(0)),
 			LoadAgeMS: s.ageMS(srv.othersLoadAt), AnswerAgeMS: s.ageMS(srv.lastAnswerAt),
