--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -1,6 +1,7 @@
 package edged
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,6 +128,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "pistachiousher_edge_read_lag_seconds", Help: "Longest time for which bytes that are read now may have waited in the process.",
 		}, func() float64 { return lag().Seconds() }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "pistachiousher_edge_goroutines", Help: "Goroutines of the process.",
+		}, func() float64 { return float64(runtime.NumGoroutine()) }),
 	)
 }
 
