--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"net/url"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -41,7 +42,14 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
 		message, err := decodeGossip(data)
+		runtime.ReadMemStats(&after)
+		// An empty entry takes two bytes in a datagram.
+		if took := after.TotalAlloc - before.TotalAlloc; took > 64<<10+1000*uint64(len(data)) {
+			t.Fatalf("%d bytes allocated for a datagram of %d", took, len(data))
+		}
 		if err != nil {
 			return
 		}
--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -50,9 +50,10 @@
 	mu sync.Mutex
 	// requestBytes and bufferBytes are reserved for the request and for buffer.
 	requestBytes, bufferBytes int64
-	// open means that a request was passed on and is not answered.
-	open, closed bool
-	deadline     time.Time
+	// open means that a request was passed on and is not answered; unread, that memory is
+	// reserved for what the kernel receives behind it.
+	open, unread, closed bool
+	deadline             time.Time
 }
 
 // Read implements net.Conn.
@@ -166,7 +167,7 @@
 
 // begin reserves the memory of a complete head and prepares for its body.
 func (c *Conn) begin(head []byte) bool {
-	if !c.reserveRequest(parsedCost(len(head), c.head.lines), true) {
+	if !c.reserveRequest(parsedCost(len(head), c.head.lines)) {
 		return false
 	}
 	c.body = bodyOf(head)
@@ -231,7 +232,7 @@
 			return 0, err
 		}
 		// The kernel goes on receiving what nobody reads.
-		if !c.reserveRequest(c.listener.config.UnreadBytes, false) {
+		if !c.reserveUnread() {
 			return 0, c.refuse(Pipelined, p)
 		}
 		if n = c.skipLineEnds(p[:1]); n > 0 {
@@ -376,16 +377,32 @@
 	return c.open
 }
 
-// reserveRequest reserves n more bytes until the request that is open, or that opens now,
+// reserveRequest reserves n bytes until the request that opens now is answered.
+func (c *Conn) reserveRequest(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.listener.config.Budget.reserve(n, c.requestBytes+c.bufferBytes) {
+		return false
+	}
+	c.requestBytes += n
+	c.open = true
+	return true
+}
+
+// reserveUnread reserves what the kernel holds for the connection until the open request
 // is answered.
-func (c *Conn) reserveRequest(n int64, opens bool) bool {
+func (c *Conn) reserveUnread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.unread {
+		return true
+	}
+	n := c.listener.config.UnreadBytes
 	if c.closed || !c.listener.config.Budget.reserve(n, c.requestBytes+c.bufferBytes) {
 		return false
 	}
 	c.requestBytes += n
-	c.open = c.open || opens
+	c.unread = true
 	return true
 }
 
@@ -408,7 +425,7 @@
 func (c *Conn) requestDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open = false
+	c.open, c.unread = false, false
 	c.listener.config.Budget.release(c.requestBytes)
 	c.requestBytes = 0
 }
--- a/test/untrusted/crowd_test.go
+++ b/test/untrusted/crowd_test.go
@@ -207,6 +207,57 @@
 	d.crowd(2500, d.caller, func(net.Conn, int) { time.Sleep(work) })
 }
 
+// Guards against bytes that end the process on any of its listeners, the socket for
+// datagrams included.
+func TestOddBytesOnEachListener(t *testing.T) {
+	d := startDaemon(t)
+	get, post := requestLines("/fast/x"), methodLines("POST", "/fast/x")
+	texts := []string{
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", "GET", "GET / HTTP/1.1\r\n", "\r\n\r\n\r\n\r\n",
+		get + "a\x00b: c\x00d\n\n", get + " a: b\n\n", get + "a\n\n", get + ": a\n\n",
+		get + strings.Repeat("Host: a\n", 1000) + "\n", get + strings.Repeat("X-Api-Key: a\n", 1000) + "\n",
+		post + strings.Repeat("Content-Length: 1\n", 500) + "\na", post + "Content-Length: 1\nContent-Length: 2\n\na",
+		post + "Content-Length: -1\n\n", post + "Content-Length: 9223372036854775808\n\n", post + "Content-Length: 10\nTransfer-Encoding: chunked\n\n0\r\n\r\n",
+		post + "Transfer-Encoding: chunked\n\n" + strings.Repeat("f", 40) + "\r\n", post + "Transfer-Encoding: chunked\n\n0\r\n" + strings.Repeat("a:\r\n", 100_000),
+		post + "Transfer-Encoding: gzip, chunked\n\n", post + "Expect: 100-continue\nContent-Length: 262144\n\n", post + "Content-Length: 262145\n\n" + strings.Repeat("a", 262_145),
+		post + "Content-Length: 262144\n\n" + strings.Repeat("a", 262_143),
+	}
+	for _, address := range []string{d.caller, d.ready, d.directory, d.admin, d.view} {
+		d.crowd(2*len(texts), address, func(c net.Conn, i int) {
+			_ = c.SetDeadline(time.Now().Add(work))
+			sendAndWait(c, []byte(texts[i%len(texts)]))
+		})
+	}
+	udp, err := net.Dial("udp", d.view)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer udp.Close()
+	for _, text := range texts {
+		// The socket takes what fits into a datagram.
+		_, _ = udp.Write([]byte(text[:min(len(text), 60_000)]))
+		_, _ = udp.Write(bytes.Repeat([]byte{0x0a, 0}, 8<<10))
+	}
+	d.crowd(1, d.caller, func(net.Conn, int) {})
+}
+
+// Guards against heads that arrive slowly and are held for ever.
+func TestTricklingHeads(t *testing.T) {
+	d := startDaemon(t)
+	d.crowd(200, d.caller, func(c net.Conn, _ int) {
+		head := []byte(requestLines("/fast/x") + strings.Repeat("a:\n", 5000))
+		// The daemon closes the connection; without that the loop takes 25 s.
+		for i := 0; i < 50 && len(head) > 0; i++ {
+			if _, err := c.Write(head[:300]); err != nil {
+				return
+			}
+			head = head[300:]
+			time.Sleep(500 * time.Millisecond)
+		}
+		t.Error("a head is received for 25 s")
+	})
+}
+
 // Guards against a refusal of requests that are inside the limits, with no other load:
 // heads of exactly the largest size in the shortest lines, and odd ones.
 func TestOddRequestsInsideLimitsAreServed(t *testing.T) {
