gateway: retries counted over the budget's window where leafs share their VM

Cause: the slack of the retry budget, once spent, came back by requests only, and a service that was new to a daemon began with two tokens. Ruled out: more tokens at first (breaks the rule in the next window). Services whose leafs report three figures are served as before.

--- a/pkg/core/gateway/call.go
+++ b/pkg/core/gateway/call.go
@@ -155,7 +155,7 @@
 		s.partFailed(q, i, p.failureReason)
 		return
 	}
-	if o != OutcomeNotSent && !p.svc.withdrawRetryToken() {
+	if o != OutcomeNotSent && !s.withdrawRetryToken(p.svc) {
 		q.budgetDenied++
 		s.partFailed(q, i, reasonRetryBudget)
 		return
--- a/pkg/core/gateway/explainleafs.go
+++ b/pkg/core/gateway/explainleafs.go
@@ -25,7 +25,7 @@
 		orders[x.Service] = x
 	}
 	for _, name := range services {
-		svc, tokens := s.service(name), decided.service(name).retryTokens
+		svc, tokens := s.service(name), decided.retryTokens(decided.service(name))
 		out := ServiceExplanation{
 			Name: name, RetryTokens: tokens, Connections: s.maxConnections(svc), Queued: len(svc.queue),
 			RetryAllowed: repeatable && tokens >= 1, HedgeAllowed: repeatable && r.Idempotent && tokens >= 1,
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -27,6 +27,8 @@
 	RetrySlack float64
 	// Quota bounds the requests of tenants.
 	Quota quota.Bounds
+	// RetryWindow is the length of that window; 0 if it is not known.
+	RetryWindow time.Duration
 	// MaxSilence is how long a daemon may not be heard of before it counts as gone.
 	MaxSilence time.Duration
 	// IsSeed means that the settings of other daemons name this one as a seed.
@@ -330,8 +332,8 @@
 	first := true
 	for _, svc := range s.services {
 		out.Queued += len(svc.queue)
-		if first || svc.retryTokens < out.LeastTokens {
-			out.LeastTokens, first = svc.retryTokens, false
+		if tokens := s.retryTokens(svc); first || tokens < out.LeastTokens {
+			out.LeastTokens, first = tokens, false
 		}
 	}
 	return out
--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -52,7 +52,7 @@
 // again later.
 func (s *State) hedgePart(q *query, i int) bool {
 	p := &q.parts[i]
-	if p.svc.retryTokens < 1 {
+	if s.retryTokens(p.svc) < 1 {
 		q.budgetDenied++
 		p.retryDenied = true
 		return false
@@ -61,7 +61,7 @@
 	if result != leafChosen {
 		return result == noLeafLeft
 	}
-	p.svc.withdrawRetryToken()
+	s.withdrawRetryToken(p.svc)
 	s.sendCall(q, i, srv, true)
 	return true
 }
@@ -80,7 +80,7 @@
 // retry token only if enough are left for hedges.
 func (s *State) probeSlowLeaf(q *query, i int) {
 	p := &q.parts[i]
-	if !q.route.Idempotent || q.route.MaxAttempts < 2 || p.svc.retryTokens < probeTokenReserve {
+	if !q.route.Idempotent || q.route.MaxAttempts < 2 || s.retryTokens(p.svc) < probeTokenReserve {
 		return
 	}
 	for _, srv := range p.svc.servers {
@@ -91,7 +91,7 @@
 			continue
 		}
 		srv.nextProbeAt = s.now.Add(probeInterval)
-		p.svc.withdrawRetryToken()
+		s.withdrawRetryToken(p.svc)
 		s.sendCall(q, i, srv, true)
 		return
 	}
--- a/pkg/core/gateway/servers.go
+++ b/pkg/core/gateway/servers.go
@@ -324,6 +324,7 @@
 	}
 	srv.failureRate += (failed - srv.failureRate) * failureRateWeight
 	if e.HasLoad {
+		srv.svc.noteSlowdownReport(e.Load)
 		srv.othersLoad = max(0, float64(e.Load.Running+e.Load.Waiting-len(srv.inflight)))
 		srv.othersLoadAt = s.now
 	}
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -9,15 +9,6 @@
 )
 
 const (
-	// retryRatioShare is the share of RetryRatio that is used; the rest covers requests
-	// that are counted in a different window.
-	retryRatioShare = 0.9
-	// retrySlackShare is the share of RetrySlack that all daemons together hold as
-	// tokens.
-	retrySlackShare = 0.75
-	// initialRetryTokens bounds the tokens of a service that is new to this daemon: a
-	// daemon that has restarted may have spent others in the same window.
-	initialRetryTokens = 2.0
 	// queueScanInterval is the interval at which queued parts are tried again.
 	queueScanInterval = 10 * time.Millisecond
 	// defaultConnections is used if the configuration does not say how many connections
@@ -33,9 +24,9 @@
 	name    string
 	config  ServiceConfig
 	servers []*server
-	// retryTokens is the number of attempts beyond the first of each request that may
-	// be sent now.
-	retryTokens float64
+	retries retryBudget
+	// reportsSlowdown means that a leaf has reported how long work takes on its VM.
+	reportsSlowdown bool
 	// queue holds parts that wait for a free connection or for a cold leaf.
 	queue []queuedPart
 	// rollout is nil if roll-outs are not followed.
@@ -55,7 +46,7 @@
 		if s.config != nil {
 			svc.config = s.config.Services[name]
 		}
-		svc.retryTokens = min(initialRetryTokens, s.maxRetryTokens())
+		svc.retries = s.newRetryBudget()
 		svc.rollout = s.rolloutOf(name)
 		s.services[name] = svc
 	}
@@ -66,26 +57,6 @@
 	svc.servers = slices.DeleteFunc(svc.servers, func(x *server) bool { return x == srv })
 }
 
-// maxRetryTokens is this daemon's share of the retry slack.
-func (s *State) maxRetryTokens() float64 {
-	return max(1, s.opt.RetrySlack*retrySlackShare*s.quotaShare())
-}
-
-// depositRetryTokens adds the tokens that the first attempt of a part earns.
-func (s *State) depositRetryTokens(svc *service) {
-	svc.retryTokens = min(svc.retryTokens+s.opt.RetryRatio*retryRatioShare, s.maxRetryTokens())
-}
-
-// withdrawRetryToken takes a token for an attempt beyond the first. It reports false if
-// there is none.
-func (svc *service) withdrawRetryToken() bool {
-	if svc.retryTokens < 1 {
-		return false
-	}
-	svc.retryTokens--
-	return true
-}
-
 // maxConnections is the number of connections that this daemon may have to a leaf.
 func (s *State) maxConnections(svc *service) int { return max(1, s.maxIdleConnections(svc)) }
 
--- a/pkg/core/gateway/wait.go
+++ b/pkg/core/gateway/wait.go
@@ -98,7 +98,7 @@
 // partWait returns what a part waited for until now or until it was answered.
 func (s *State) partWait(q *query, p *part) *WaitReport {
 	w := &WaitReport{
-		Service: p.svc.name, Lag: max(q.lag, s.lastLag), RetryTokens: p.svc.retryTokens, QuotaShare: s.quotaShare(), Connections: s.maxConnections(p.svc),
+		Service: p.svc.name, Lag: max(q.lag, s.lastLag), RetryTokens: s.retryTokens(p.svc), QuotaShare: s.quotaShare(), Connections: s.maxConnections(p.svc),
 	}
 	if len(p.calls) == 0 {
 		w.Queued = s.now.Sub(q.arrived)
--- a/pkg/core/gateway/wait_test.go
+++ b/pkg/core/gateway/wait_test.go
@@ -75,9 +75,9 @@
 		WaitRetryBudget: func(h *harness) {
 			h.configure(1, nil, shardedRoute("/a/", 1, "x"))
 			h.listLeafs(2, "x")
-			h.s.service("x").retryTokens = 0
+			h.s.service("x").retries.tokens = 0
 			q := h.request("/a/", 2*time.Second)
-			h.s.service("x").retryTokens = 0
+			h.s.service("x").retries.tokens = 0
 			h.advance(late)
 			h.finishCall(h.calls(q)[0], OutcomeSucceeded)
 		},
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -146,7 +146,7 @@
 	self := d.self
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	core := gateway.New(gateway.Options{
-		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
+		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: s.Retry.Window,
 		Quota:      quota.Bounds{Window: s.Quota.Window, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
 		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
 		Rollout: s.rolloutLimits(),
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -71,6 +71,8 @@
 	// Ratio allows a share of the requests of a window; Slack is a number of attempts
 	// per window in addition.
 	Ratio, Slack float64
+	// Window is the length of that window; 0 if the platform does not state it.
+	Window time.Duration
 }
 
 // QuotaSettings bound the requests of a tenant, of all daemons together: in each Window
@@ -96,6 +98,7 @@
 const (
 	maxPort          = 65535
 	maxRetrySlack    = 1e6
+	maxRetryWindow   = 10 * time.Minute
 	maxCores         = 1024
 	defaultMemoryMiB = 256
 	minMemoryMiB     = 64
@@ -156,7 +159,7 @@
 	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "memory_mb", "descriptors", "retry", "quota", "rollout", "stop", "contact_loss", "address_ttl", "log")
 	listen := m.Need("listen").Map("caller", "ready", "directory", "admin")
 	processor := m.Get("processor").Map("share", "cores")
-	retry := m.Get("retry").Map("ratio", "slack")
+	retry := m.Get("retry").Map("ratio", "slack", "window")
 	s := &Settings{
 		VM:            m.Need("vm").Name(),
 		FailureDomain: m.Need("failure_domain").Name(),
@@ -173,6 +176,8 @@
 		Retry: RetrySettings{
 			Ratio: retry.Get("ratio").Float(defaultRetryRatio, 0, 1),
 			Slack: retry.Get("slack").Float(defaultRetrySlack, 0, maxRetrySlack),
+			// 0 means unknown.
+			Window: retry.Get("window").Duration(0, 0, maxRetryWindow),
 		},
 		StopTimeout: m.Get("stop").Duration(defaultStopTimeout, minStopTimeout, maxStopTimeout),
 		ContactLoss: m.Get("contact_loss").Duration(defaultContactLoss, minContactLoss, maxContactLoss),
