--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -45,6 +45,7 @@
 	EdgeRolloutActing      ID = 1772
 	EdgeRolloutVerdict     ID = 1773
 	EdgeRolloutWriteFailed ID = 1774
+	EdgeClientRefused      ID = 1752
 )
 
 var edgeEvents = []Def{
@@ -82,6 +83,7 @@
 	{EdgeKeysRevoked, "edge_keys_revoked", log.WarnLevel, "Keys were removed while requests with them waited; number counts the requests, which are refused or get no further attempt."},
 	{EdgeQuotaExceeded, "edge_quota_exceeded", log.InfoLevel, "A request of the tenant in subject was refused because of its quota, the first in ten seconds; number is how many requests this daemon may serve in a window."},
 	{EdgeQuotaHolding, "edge_quota_holding", log.InfoLevel, "The daemons that hold shares of quotas have changed; number counts them, detail says whether this daemon is one."},
+	{EdgeClientRefused, "edge_client_refused", log.WarnLevel, "A request outside the limits was refused, or its connection closed; client is the address. At most a few lines a second are written; left_out says how many were not since the line before, and the metric clients_refused_total counts all."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
 	{EdgeRolloutStarted, "edge_rollout_started", log.InfoLevel, "An order asks for the traffic of the service in subject to be moved to the version in detail within age_ms."},
 	{EdgeRolloutWithdrawn, "edge_rollout_withdrawn", log.InfoLevel, "The order for the version in detail is gone or replaced. Without a verdict its leafs are used only if no others are left."},
