Roll-outs: tests of the store's side, move in two steps, kinds of faults apart

Strata are longer and lopsided ones are joined, a hint of a fault leads to more samples, and the move begins with half of the requests. A daemon that hears fewer than half of the active daemons decides nothing good.

--- a/pkg/core/gateway/rollout/decide.go
+++ b/pkg/core/gateway/rollout/decide.go
@@ -21,11 +21,24 @@
 	// sampling, when a version that is not condemned gets all requests.
 	finalLevel          = 0.002
 	finalLevelElsewhere = 0.1
+	// latestLevel is that of the last test of a version that was suspect at the end of the
+	// sampling, moveLevel that of the test before the old leafs are stopped.
+	latestLevel = 0.005
+	moveLevel   = 0.001
+	// slowLevelElsewhere is the level of the test without the worst leaf for slow answers: VMs
+	// differ in speed, so that single slow answers of a second leaf are common.
+	slowLevelElsewhere = 0.01
+	// suspectLevel is the level, without a second test, of a hint of a fault. It leads to more
+	// samples.
+	suspectLevel = 0.05
 	// minExcess and minRatio are how much greater the share of bad answers of a bad version
 	// is than that of the former ones: with very many answers smaller differences are
 	// significant, and no reason to roll back.
 	minExcess = 0.01
 	minRatio  = 1.5
+	// minSlowExcess replaces minExcess for slow answers, of which a slow VM has a few per
+	// cent more.
+	minSlowExcess = 0.05
 	// minTargetAnswers is the number of answers of the target version without which a
 	// service with many requests does not complete a roll-out.
 	minTargetAnswers = 10
@@ -43,6 +56,10 @@
 	// the old leafs are stopped: two full messages between daemons, and enough answers to
 	// see a version that fails under the whole load.
 	minMoveTime = time.Second
+	// rampTime is the first part of the move, in which the former versions go on getting half
+	// of the requests: their answers are compared with those of the target under load, and
+	// fewer requests reach a version that turns out to be bad.
+	rampTime = 500 * time.Millisecond
 	// maxMoveTime is how long open attempts at old leafs are waited for.
 	maxMoveTime = 2 * time.Second
 	// writeRetryInterval is the time between two tries to write the verdict.
@@ -154,11 +171,12 @@
 		r.evaluated = now
 		s.evaluate(now, in)
 	}
+	write := s.writeDue(now, in)
 	out := Result{
 		Decided: r.local != before, Acting: r.local, Reason: r.reason,
 		Service: r.Service, Target: r.Target, Order: r.id, Era: r.Era, Revision: r.Revision, ReadBack: r.readBack,
 	}
-	if s.writeDue(now, in) {
+	if write {
 		r.writing = true
 		out.Write = true
 	}
@@ -188,21 +206,28 @@
 	if r.local == RolledBack {
 		return
 	}
-	if r.ledger.bad > 0 && s.condemned(r.ledger.tables(), earlyLevel, earlyLevelElsewhere) {
-		r.decide(now, RolledBack, "bad answers")
-		return
+	if r.ledger.bad > 0 {
+		groups := r.ledger.groups()
+		if s.condemned(groups, earlyLevel, earlyLevelElsewhere) {
+			r.decide(now, RolledBack, "bad answers")
+			return
+		}
+		r.suspect = s.condemned(groups, suspectLevel, anyLevel)
 	}
 	elapsed := now.Sub(r.seenAt)
 	if r.local != Undecided || elapsed < r.Duration-r.settleTime() || !in.Heard {
 		return
 	}
-	groups := r.ledger.tables()
+	groups := r.ledger.groups()
 	switch sufficient := s.sufficient(groups); {
 	case s.condemned(groups, finalLevel, finalLevelElsewhere):
 		r.decide(now, RolledBack, "bad answers")
+	case elapsed < r.Duration-min(latestDecision, r.settleTime()/2) && (r.suspect || !sufficient):
+		// More answers are waited for.
+	case r.suspect && s.condemned(groups, latestLevel, finalLevelElsewhere):
+		r.decide(now, RolledBack, "bad answers")
 	case sufficient:
 		r.decide(now, Completed, "no difference")
-	case elapsed < r.Duration-min(latestDecision, r.settleTime()/2):
 	case s.usableTargets() == 0:
 		r.decide(now, RolledBack, "no leafs of the version")
 	default:
@@ -223,25 +248,43 @@
 	return all.target.all >= minTargetAnswers && len(all.byLeaf) >= min(2, len(s.sampledLeafs()))
 }
 
+// anyLevel is the level of a test that is not made.
+const anyLevel = 1
+
 // condemned reports whether the version is bad on all routes together or on one of them.
 func (s *State) condemned(groups []group, level, levelElsewhere float64) bool {
 	for _, g := range groups {
-		if !g.target.exceeds(g.former) || stratifiedTest(g.tables) >= level {
-			continue
-		}
-		if s.usableTargets() < 2 && len(g.byLeaf) < 2 {
-			return true
-		}
-		if stratifiedTest(g.without(s.worstPart(g))) < levelElsewhere {
-			return true
+		for kind := range faultKinds {
+			if s.shows(g, kind, level, levelElsewhere) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// shows reports whether a group of answers shows a fault of the version, not only of a part of
+// its leafs.
+func (s *State) shows(g group, kind faultKind, level, levelElsewhere float64) bool {
+	excess := minExcess
+	if kind == slowness {
+		excess = minSlowExcess
+	}
+	if !g.target.of(kind).exceeds(g.former.of(kind), excess) || stratifiedTest(g.tables(kind, nil)) >= level {
+		return false
+	}
+	if s.usableTargets() < 2 && len(g.byLeaf) < 2 || levelElsewhere == anyLevel {
+		return true
+	}
+	if kind == slowness {
+		levelElsewhere = min(levelElsewhere, slowLevelElsewhere)
+	}
+	return stratifiedTest(g.tables(kind, s.worstPart(g, kind))) < levelElsewhere
+}
+
 // exceeds reports whether the share of bad answers is greater than that of other answers by
 // more than roll-outs are rolled back for.
-func (c count) exceeds(other count) bool {
+func (c tally) exceeds(other tally, excess float64) bool {
 	if c.all == 0 || c.bad == 0 {
 		return false
 	}
@@ -250,13 +293,13 @@
 	if other.all > 0 {
 		base = float64(other.bad) / float64(other.all)
 	}
-	return share >= base+minExcess && share >= base*minRatio
+	return share >= base+excess && share >= base*minRatio
 }
 
 // worstPart returns the leafs whose own fault the bad answers may be: those of the failure
 // domain with the most bad answers, which may be cut off, or the worst leaf if all are in one
 // domain.
-func (s *State) worstPart(g group) map[string]bool {
+func (s *State) worstPart(g group, kind faultKind) map[string]bool {
 	partOf := map[string]string{}
 	domains := map[string]bool{}
 	for _, l := range s.leafs {
@@ -273,7 +316,7 @@
 			part = leaf
 			partOf[leaf] = leaf
 		}
-		bad[part] += c.bad
+		bad[part] += c.of(kind).bad
 		if worst == "" || bad[part] > bad[worst] || bad[part] == bad[worst] && part < worst {
 			worst = part
 		}
@@ -297,7 +340,14 @@
 		return true
 	}
 	moving := now.Sub(r.decidedAt) - time.Duration(in.Turn)*writeTurn
-	return moving >= minMoveTime && (moving >= maxMoveTime || in.Open == 0 && s.othersMoved(now))
+	if moving < minMoveTime || moving < maxMoveTime && (in.Open > 0 || !s.othersMoved(now)) {
+		return false
+	}
+	if r.ledger.bad > 0 && s.condemned(r.ledger.groups(), moveLevel, finalLevelElsewhere) {
+		// The version has turned bad during the move.
+		r.decide(now, RolledBack, "bad answers during the move")
+	}
+	return true
 }
 
 // othersMoved reports whether all daemons that tell of the order send to the target version
--- a/pkg/core/gateway/rollout/exacttest.go
+++ b/pkg/core/gateway/rollout/exacttest.go
@@ -4,7 +4,7 @@
 
 // table is a two-by-two table of one stratum: answers of the target version and of the
 // former ones.
-type table struct{ target, former count }
+type table struct{ target, former tally }
 
 // maxExactVariance is the variance of the number of bad answers from which its distribution
 // is taken to be normal: the exact one then takes too long and differs little.
--- a/pkg/core/gateway/rollout/exposure.go
+++ b/pkg/core/gateway/rollout/exposure.go
@@ -14,7 +14,12 @@
 	// sampleSlackShare is the part of the slack that all daemons together use before they
 	// have decided. Half of them may count as active with another half during a partition,
 	// and the requests of the move after a wrong decision also count.
-	sampleSlackShare = 0.5
+	sampleSlackShare = 0.55
+	// suspectSlackShare replaces sampleSlackShare, and suspectDuty sampleDuty, once there is a
+	// hint of a fault: more answers decide sooner, and a move that turns out to be wrong is
+	// less likely.
+	suspectSlackShare = 0.85
+	suspectDuty       = 3.0
 	// samplePeriod is the time in which one leaf of the target version is sampled before the
 	// next one is, in the same order at all daemons.
 	samplePeriod = time.Second
@@ -51,7 +56,11 @@
 // all daemons of what this allows is within the bounds without any message: shares of own
 // requests add up to the share of all requests, and slackShare to at most 1.
 func (r *run) mayExpose(l Limits) bool {
-	return float64(r.exposed)+1 <= l.Share*float64(r.requests)+r.slack
+	slackShare := sampleSlackShare
+	if r.suspect {
+		slackShare = suspectSlackShare
+	}
+	return float64(r.exposed)+1 <= l.Share*float64(r.requests)+r.slack*slackShare
 }
 
 // Sample returns the leaf of the target version that the first attempt of a request on the
@@ -70,7 +79,10 @@
 	}
 	elapsed := now.Sub(s.run.seenAt)
 	total := s.usableTargets()
-	duty := min(1, s.limits.Share*sampleDuty*float64(total))
+	duty := s.limits.Share * sampleDuty * float64(total)
+	if s.run.suspect {
+		duty = s.limits.Share * suspectDuty * float64(total)
+	}
 	inPeriod := float64(elapsed%samplePeriod) / float64(samplePeriod)
 	chance := 1 / float64(total)
 	if inPeriod >= duty {
--- a/pkg/core/gateway/rollout/figures.go
+++ b/pkg/core/gateway/rollout/figures.go
@@ -23,10 +23,10 @@
 	f := Figures{Age: now.Sub(s.run.seenAt), Reason: s.run.reason, Requests: s.run.requests, Exposed: s.run.exposed}
 	for _, x := range s.run.ledger.strata {
 		f.Former += x.former.all
-		f.FormerBad += x.former.bad
+		f.FormerBad += x.former.bad()
 		for _, c := range x.target {
 			f.Answers += c.all
-			f.Bad += c.bad
+			f.Bad += c.bad()
 		}
 	}
 	return f
--- a/pkg/core/gateway/rollout/groups.go
+++ b/pkg/core/gateway/rollout/groups.go
@@ -10,14 +10,13 @@
 // group is the evidence on one route, or on all routes together.
 type group struct {
 	route          string
-	tables         []table
 	former, target count
 	byLeaf         map[string]count
 	strata         []*stratum
 }
 
-// tables returns the evidence of all routes together, followed by that of each route.
-func (l *ledger) tables() []group {
+// groups returns the evidence of all routes together, followed by that of each route.
+func (l *ledger) groups() []group {
 	all := group{byLeaf: map[string]count{}}
 	byRoute := map[string]*group{}
 	for _, x := range l.folded() {
@@ -37,27 +36,26 @@
 }
 
 func (g *group) add(x *stratum) {
-	t := table{former: x.former}
 	for leaf, c := range x.target {
-		t.target = t.target.plus(c)
+		g.target = g.target.plus(c)
 		g.byLeaf[leaf] = g.byLeaf[leaf].plus(c)
 	}
-	g.tables = append(g.tables, t)
 	g.strata = append(g.strata, x)
-	g.former, g.target = g.former.plus(t.former), g.target.plus(t.target)
+	g.former = g.former.plus(x.former)
 }
 
-// without returns the tables without the answers of some leafs of the target version.
-func (g *group) without(leafs map[string]bool) []table {
+// tables returns the tables of one kind of fault without the answers of some leafs of the
+// target version.
+func (g *group) tables(kind faultKind, without map[string]bool) []table {
 	out := make([]table, 0, len(g.strata))
 	for _, x := range g.strata {
-		t := table{former: x.former}
+		var target count
 		for leaf, c := range x.target {
-			if !leafs[leaf] {
-				t.target = t.target.plus(c)
+			if !without[leaf] {
+				target = target.plus(c)
 			}
 		}
-		out = append(out, t)
+		out = append(out, table{target: target.of(kind), former: x.former.of(kind)})
 	}
 	return out
 }
@@ -68,9 +66,22 @@
 	daemon, route string
 }
 
-// folded returns the strata. One without answers of the former versions, as during the move
-// to the target version, is added to the one before of the same daemon and route, or to the
-// one after it: it could not be compared otherwise.
+// minFormerRatio is the number of answers of the former versions for each one of the target
+// below which a stratum shows little by itself.
+const minFormerRatio = 2
+
+// lopsided reports whether a stratum has few answers of the former versions, as during the move
+// to the target version, of which the first moments still have some.
+func (x *stratum) lopsided() bool {
+	target := uint64(0)
+	for _, c := range x.target {
+		target += c.all
+	}
+	return x.former.all < minFormerRatio*target
+}
+
+// folded returns the strata. A lopsided one is added to the one before of the same daemon and
+// route, or to the one after it.
 func (l *ledger) folded() []foldedStratum {
 	keys := slices.SortedFunc(maps.Keys(l.strata), func(a, b stratumKey) int {
 		return cmp.Or(strings.Compare(a.daemon, b.daemon), strings.Compare(a.route, b.route), cmp.Compare(a.slot, b.slot))
@@ -78,7 +89,7 @@
 	var out []foldedStratum
 	for _, key := range keys {
 		x := l.strata[key]
-		if last := len(out) - 1; last >= 0 && out[last].daemon == key.daemon && out[last].route == key.route && (x.former.all == 0 || out[last].former.all == 0) {
+		if last := len(out) - 1; last >= 0 && out[last].daemon == key.daemon && out[last].route == key.route && (x.lopsided() || out[last].lopsided()) {
 			out[last].former = out[last].former.plus(x.former)
 			for leaf, c := range x.target {
 				out[last].target[leaf] = out[last].target[leaf].plus(c)
--- a/pkg/core/gateway/rollout/ledger.go
+++ b/pkg/core/gateway/rollout/ledger.go
@@ -11,8 +11,10 @@
 
 const (
 	// slotLength is the time over which answers of both versions are compared. It is short
-	// against a roll-out, so that a burst meets both, and long enough for answers of both.
-	slotLength = 2 * time.Second
+	// against a roll-out, so that a burst meets both, and long enough for several answers of
+	// the former versions for each one of the target: with 2 s, 2 of 10 versions of which a
+	// tenth of the answers failed were completed.
+	slotLength = 4 * time.Second
 	// slowFactor is the number of median times of the former versions from which an answer
 	// is bad. A version that is several times slower exceeds it with most answers.
 	slowFactor = 2.5
@@ -40,6 +42,9 @@
 	Target               bool
 	Leaf                 string
 	Attempts, BadAnswers uint64
+	// SlowAnswers are those of the bad answers that were complete and late; the others
+	// failed.
+	SlowAnswers uint64
 	// Latencies are numbers of answers of the versions before by latency, in buckets of
 	// this package.
 	Latencies []uint32
@@ -47,8 +52,32 @@
 	Leafs, BadLeafs uint32
 }
 
-// count is a number of answers and of the bad ones among them.
-type count struct{ all, bad uint64 }
+// count is a number of answers and of the bad ones among them, by the kind of fault.
+type count struct{ all, failed, slow uint64 }
+
+// bad is the number of bad answers.
+func (c count) bad() uint64 { return c.failed + c.slow }
+
+// tally is a number of answers and of the bad ones of one kind.
+type tally struct{ all, bad uint64 }
+
+// faultKind is a kind of bad answers. The kinds are tested apart: a leaf that fails on its own
+// and a chance slow answer of another one are not the same fault on two leafs.
+type faultKind uint8
+
+const (
+	failures faultKind = iota
+	slowness
+	faultKinds
+)
+
+// of returns the answers and the bad ones of a kind.
+func (c count) of(kind faultKind) tally {
+	if kind == failures {
+		return tally{c.all, c.failed}
+	}
+	return tally{c.all, c.slow}
+}
 
 // stratumKey names answers that are compared with each other: those that one daemon got on
 // one route within one slot.
@@ -155,15 +184,18 @@
 		leaf = a.Leaf
 	}
 	c := count{all: 1}
-	if a.Failed || slow {
-		c.bad = 1
+	switch {
+	case a.Failed:
+		c.failed = 1
+	case slow:
+		c.slow = 1
 	}
 	key := evidenceKey{a.Route, leaf}
 	l.own[key] = l.own[key].plus(c)
 	l.add(now, "", key, c)
 }
 
-func (c count) plus(d count) count { return count{c.all + d.all, c.bad + d.bad} }
+func (c count) plus(d count) count { return count{c.all + d.all, c.failed + d.failed, c.slow + d.slow} }
 
 func (l *ledger) isSlow(route string, latency time.Duration) bool {
 	h, ok := l.latencies[route]
@@ -195,7 +227,7 @@
 	}
 	x.target[key.leaf] = x.target[key.leaf].plus(c)
 	l.byRoute[key.route] += c.all
-	l.bad += c.bad
+	l.bad += c.bad()
 }
 
 // targetAnswers is the number of answers of the target version on a route.
@@ -209,8 +241,8 @@
 	l := &s.run.ledger
 	var out []Evidence
 	for key, c := range l.own {
-		e := Evidence{Service: s.run.Service, Order: s.run.id, Route: key.route, Leaf: key.leaf, Target: key.leaf != "", Attempts: c.all, BadAnswers: c.bad, Leafs: 1}
-		if c.bad > 0 {
+		e := Evidence{Service: s.run.Service, Order: s.run.id, Route: key.route, Leaf: key.leaf, Target: key.leaf != "", Attempts: c.all, BadAnswers: c.bad(), SlowAnswers: c.slow, Leafs: 1}
+		if c.bad() > 0 {
 			e.BadLeafs = 1
 		}
 		if h, ok := l.ownLatencies[key.route]; ok && !e.Target {
@@ -276,12 +308,17 @@
 		if !ok && len(known.counts) >= maxSeries {
 			continue
 		}
-		if e.Attempts < old.all || e.BadAnswers < old.bad || e.BadAnswers-old.bad > e.Attempts-old.all {
+		told := count{e.Attempts, e.BadAnswers - e.SlowAnswers, e.SlowAnswers}
+		if e.SlowAnswers > e.BadAnswers || told.all < old.all || told.failed < old.failed || told.slow < old.slow {
+			continue
+		}
+		added := count{told.all - old.all, told.failed - old.failed, told.slow - old.slow}
+		if added.bad() > added.all {
 			continue
 		}
-		known.counts[key] = count{e.Attempts, e.BadAnswers}
-		if e.Attempts > old.all {
-			l.add(now, daemon, key, count{e.Attempts - old.all, e.BadAnswers - old.bad})
+		known.counts[key] = told
+		if added.all > 0 {
+			l.add(now, daemon, key, added)
 		}
 		if !e.Target {
 			l.mergeLatencies(known, e)
--- a/pkg/core/gateway/rollout/rollout.go
+++ b/pkg/core/gateway/rollout/rollout.go
@@ -85,8 +85,10 @@
 	// seenAt is when the order was written, as far as known: when this daemon or another
 	// that it heard learned of it.
 	seenAt model.Time
-	// slack is the number of requests that this daemon may expose beyond its share.
+	// slack is this daemon's part of the slack, of which sampleSlackShare is used.
 	slack float64
+	// suspect means that the evidence hints at a fault.
+	suspect bool
 	// requests is the number of this daemon's requests to the service since seenAt, exposed
 	// the number of its attempts at leafs of the target version.
 	requests, exposed uint64
@@ -96,7 +98,9 @@
 	local     Verdict
 	decidedAt model.Time
 	evaluated model.Time
-	reason    string
+	// ramping means that the former versions still get requests in a move to the target.
+	ramping bool
+	reason  string
 	// nextWriteAt is when the verdict is to be written next; writing means that a write has
 	// not ended; readBack means that the previous one may have taken effect.
 	nextWriteAt       model.Time
@@ -153,7 +157,7 @@
 		return Decided
 	}
 	s.withdraw()
-	s.run = &run{Order: *o, id: o.ID(), seenAt: now, slack: s.limits.Slack * sampleSlackShare * slackShare, ledger: newLedger(), peers: map[string]peer{}}
+	s.run = &run{Order: *o, id: o.ID(), seenAt: now, slack: s.limits.Slack * slackShare, ledger: newLedger(), peers: map[string]peer{}}
 	s.run.Verdict = Undecided
 	s.versions.startOrder(now, o.Target, s.leafs)
 	if o.Verdict != Undecided {
--- a/pkg/core/gateway/rollout/rollout_test.go
+++ b/pkg/core/gateway/rollout/rollout_test.go
@@ -265,6 +265,9 @@
 	if r := s.Decide(at, in); r.Write || r.Acting != Completed {
 		t.Fatalf("%+v at the decision", r)
 	}
+	s.SetLeafs(at, leafsOf("v1", "v2"))
+	checkUses(t, "beginning to move", s, map[string]Use{"v1": Full, "v2": Full})
+	s.SetLeafs(at.Add(rampTime), leafsOf("v1", "v2"))
 	checkUses(t, "moving", s, map[string]Use{"v1": LastResort, "v2": Full})
 	other := Progress{Service: "s", Order: testOrder().ID(), Acting: Completed, Open: 1}
 	s.MergeProgress(at.Add(time.Second), "d2", other)
--- a/pkg/core/gateway/rollout/versions.go
+++ b/pkg/core/gateway/rollout/versions.go
@@ -145,6 +145,9 @@
 	if s.running() {
 		target = s.run.Target
 	}
+	if s.running() {
+		s.run.ramping = s.run.local == Completed && now.Sub(s.run.decidedAt) < rampTime
+	}
 	s.versions.learn(now, leafs, target)
 	s.versions.release(now, s.limits)
 }
@@ -166,7 +169,7 @@
 		return Unused
 	case s.versions.retired[version] == lastResort, held:
 		return LastResort
-	case s.running() && s.run.local == Completed:
+	case s.running() && s.run.local == Completed && !s.run.ramping:
 		return LastResort
 	}
 	return Full
--- a/pkg/core/gateway/rolloutexperiment_test.go
+++ b/pkg/core/gateway/rolloutexperiment_test.go
@@ -29,6 +29,9 @@
 	{name: "good, decider killed after", killAfter: true},
 	{name: "good, decider cut off", cutDecider: true},
 	{name: "good, reply lost", loseReply: true},
+	{name: "good, daemon cut off from others", cutPeers: true},
+	{name: "good, halves", halves: true},
+	{name: "good, restarts", restarts: true},
 	{name: "fails", bad: true, fails: 0.3},
 	{name: "fails rarely", bad: true, fails: 0.1},
 	{name: "slow", bad: true, slows: 0.5, slowBy: 4},
@@ -40,6 +43,9 @@
 	{name: "fails, decider killed after", bad: true, fails: 0.3, killAfter: true},
 	{name: "fails, decider cut off", bad: true, fails: 0.3, cutDecider: true},
 	{name: "fails, reply lost", bad: true, fails: 0.3, loseReply: true},
+	{name: "fails, daemon cut off from others", bad: true, fails: 0.3, cutPeers: true},
+	{name: "fails, halves", bad: true, fails: 0.3, halves: true},
+	{name: "fails, restarts", bad: true, fails: 0.3, restarts: true},
 }
 
 // Guards against a bad version that is completed or exposed too much, a good one that is
--- a/pkg/core/gateway/rolloutfleet_test.go
+++ b/pkg/core/gateway/rolloutfleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -73,6 +72,11 @@
 	// end the deciding daemon before or after its first write has arrived; cutDecider cuts it
 	// off from the others and the store before that.
 	loseReply, killBefore, killAfter, cutDecider bool
+	// cutPeers cuts one active daemon off from the others, but not from the store, and
+	// halves the fleet into two parts that do not hear each other.
+	cutPeers, halves bool
+	// restarts ends random daemons all the time and starts them again.
+	restarts bool
 }
 
 type fleetLeaf struct {
@@ -96,6 +100,8 @@
 	revision uint64
 	calls    map[CallID]SendCall
 	slow     time.Duration
+	// side is the part of the fleet that the daemon hears.
+	side int
 }
 
 type fleetEvent struct {
@@ -216,6 +222,27 @@
 	if f.fault.slowDaemon > 0 {
 		f.daemons[f.rand.IntN(len(f.daemons))].slow = f.fault.slowDaemon
 	}
+	if f.fault.cutPeers {
+		f.daemons[f.rand.IntN(len(f.daemons))].side = 1
+	}
+	if f.fault.halves {
+		for i, d := range f.daemons {
+			d.side = i % 2
+		}
+	}
+	if f.fault.restarts {
+		f.restartOne()
+	}
+}
+
+// restartOne ends a daemon every second and starts it again 0.4 s later.
+func (f *rolloutFleet) restartOne() {
+	d := f.daemons[f.rand.IntN(len(f.daemons))]
+	if d.running {
+		d.kill()
+		f.after(400*time.Millisecond, func() { d.start(f.now) })
+	}
+	f.after(time.Second, f.restartOne)
 }
 
 // published delivers what the store holds to the daemons that watch it.
@@ -349,7 +376,7 @@
 		for _, to := range e.To {
 			if peer, ok := f.byPeer[to]; ok && f.rand.Float64() > 0.02 {
 				f.after(f.between(time.Millisecond, 5*time.Millisecond), func() {
-					if !d.cut && !peer.cut {
+					if !d.cut && !peer.cut && d.side == peer.side {
 						peer.step(GossipReceived{Daemons: e.Daemons, Sections: e.Sections})
 					}
 				})
@@ -358,7 +385,7 @@
 	case FetchView:
 		peer := f.byPeer[e.From]
 		f.after(6*time.Millisecond, func() {
-			ok := d.run == run && peer.running && !d.cut && !peer.cut
+			ok := d.run == run && peer.running && !d.cut && !peer.cut && d.side == peer.side
 			if ok {
 				d.adopt(peer.known, peer.revision)
 			}
@@ -373,143 +400,3 @@
 		d.writeVerdict(e)
 	}
 }
-
-// send lets a leaf work on an attempt.
-func (d *fleetDaemon) send(e SendCall) {
-	f, run := d.f, d.run
-	f.after(500*time.Microsecond, func() {
-		if d.run != run || d.s.BeginCall(d.now(), e.Call) <= 0 {
-			if d.run == run {
-				d.step(CallDone{Call: e.Call, Outcome: OutcomeCancelled})
-			}
-			return
-		}
-		d.calls[e.Call] = e
-		l := f.leafs[e.Server]
-		target := l.Version == "v2"
-		if target && f.inOrder() {
-			f.sample.exposed++
-			f.sample.last = f.now
-		}
-		path := d.s.calls[e.Call].query.route.Name
-		took, outcome := f.work(l, path)
-		f.after(took+500*time.Microsecond+d.slow, func() {
-			if target && outcome != OutcomeSucceeded {
-				if f.sample.bad++; f.sample.bad == 50 {
-					f.sample.fiftieth = f.now
-				}
-			}
-			delete(d.calls, e.Call)
-			if d.run == run {
-				d.step(CallDone{Call: e.Call, Outcome: outcome})
-			}
-		})
-	})
-}
-
-// work returns the time that a leaf takes for a request and how the attempt ends.
-func (f *rolloutFleet) work(l *fleetLeaf, route string) (time.Duration, Outcome) {
-	var work time.Duration
-	for _, r := range fleetRoutes {
-		if r.route.Name == route {
-			work = r.work
-		}
-	}
-	took := float64(work) * l.speed * math.Exp(0.3*f.rand.NormFloat64())
-	outcome := OutcomeSucceeded
-	if f.rand.Float64() < f.fault.lost {
-		outcome = OutcomeLost
-	}
-	l.arrivals = append(l.arrivals, f.now)
-	for len(l.arrivals) > 0 && f.now.Sub(l.arrivals[0]) > 500*time.Millisecond {
-		l.arrivals = l.arrivals[1:]
-	}
-	if f.faulty(l, route) {
-		if f.rand.Float64() < f.fault.fails {
-			outcome = OutcomeFailed
-		}
-		if f.rand.Float64() < f.fault.slows {
-			took *= f.fault.slowBy
-		}
-	}
-	slot := 0
-	if l.freeAt[1] < l.freeAt[0] {
-		slot = 1
-	}
-	begin := max(l.freeAt[slot], f.now)
-	l.freeAt[slot] = begin.Add(time.Duration(took))
-	return l.freeAt[slot].Sub(f.now), outcome
-}
-
-func (f *rolloutFleet) faulty(l *fleetLeaf, route string) bool {
-	x := f.fault
-	return l.Version == "v2" && f.order != nil && f.now >= f.orderedAt.Add(x.from) && (x.on == "" || x.on == route) &&
-		(!x.oneLeaf || l.ID == "v2-1") && len(l.arrivals) >= x.underLoad
-}
-
-// writeVerdict lets a write reach the store.
-func (d *fleetDaemon) writeVerdict(e WriteVerdict) {
-	f, run := d.f, d.run
-	first := !f.killed
-	if first && f.fault.killBefore {
-		f.killed = true
-		d.kill()
-		return
-	}
-	if first && f.fault.cutDecider {
-		f.killed, d.cut = true, true
-	}
-	reply := func(after time.Duration, outcome rollout.WriteOutcome) {
-		f.after(after, func() {
-			if d.run == run {
-				d.step(VerdictWritten{Write: e, Outcome: outcome, Cause: "lost"})
-			}
-		})
-	}
-	f.after(f.between(2*time.Millisecond, 20*time.Millisecond), func() {
-		if f.down || d.cut {
-			reply(time.Second, rollout.Failed)
-			return
-		}
-		revision := e.Revision
-		if e.ReadBack {
-			revision = f.revision
-			d.readStore()
-		}
-		if f.order.Verdict != rollout.Undecided || revision != f.order.Revision {
-			reply(time.Millisecond, rollout.Conflict)
-			return
-		}
-		f.take(e.Verdict)
-		switch {
-		case first && f.fault.killAfter:
-			f.killed = true
-			d.kill()
-		case first && f.fault.loseReply:
-			f.killed = true
-			reply(2*time.Second, rollout.Failed)
-		default:
-			reply(time.Millisecond, rollout.Written)
-		}
-	})
-}
-
-// take records a verdict in the store. A completed one stops the old leafs at once.
-func (f *rolloutFleet) take(v rollout.Verdict) {
-	o := *f.order
-	f.revision++
-	o.Verdict, o.Revision = v, f.revision
-	f.order = &o
-	f.verdicts = append(f.verdicts, v)
-	f.decidedAt = f.now
-	if v == rollout.Completed {
-		for _, d := range f.daemons {
-			for _, c := range d.calls {
-				if f.leafs[c.Server].Version == "v1" {
-					f.sample.cutOff++
-				}
-			}
-		}
-	}
-	f.published()
-}
--- a/pkg/core/gateway/rollouts.go
+++ b/pkg/core/gateway/rollouts.go
@@ -18,6 +18,9 @@
 	// the slack of an order that it sees for the first time: lists read at the start may be
 	// seconds old, and an order is known within RolloutLimits.OrderWithin.
 	predecessorGrace = 10 * time.Second
+	// largeFleetSlackShare is the part of the slack that is used in large fleets: while their
+	// daemons do not agree on which of them are active, the sum of their shares exceeds 1.
+	largeFleetSlackShare = 0.55
 	// lateWriterTurn is the place in the order of writers of a daemon that callers are not
 	// sent to: after all that are, of which there are usually eight.
 	lateWriterTurn = 9
@@ -85,6 +88,9 @@
 func (s *State) setOrder(service string, o *RolloutOrder) {
 	x := s.rolloutOf(service)
 	share := s.quotaShare()
+	if s.largeFleet() {
+		share *= largeFleetSlackShare
+	}
 	if s.now < model.Time(predecessorGrace) {
 		share = 0
 	}
@@ -191,7 +197,9 @@
 			heard++
 		}
 	}
-	in.Heard = 2*heard >= others && s.contact()
+	// A daemon that hears only a few others is cut off and lacks most of the evidence.
+	all := max(others+1, min(minActiveDaemons, len(s.daemons)+1))
+	in.Heard = 2*(heard+1) >= all && s.contact()
 	return in
 }
 
--- a/pkg/edge/sections.go
+++ b/pkg/edge/sections.go
@@ -100,7 +100,7 @@
 func encodeEvidence(e gateway.VersionEvidence) *gossippb.VersionEvidence {
 	return &gossippb.VersionEvidence{
 		Service: e.Service, Order: e.Order, Route: e.Route, Target: e.Target, Attempts: e.Attempts, BadAnswers: e.BadAnswers,
-		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs, Leaf: e.Leaf,
+		LatencyBuckets: e.Latencies, Leafs: e.Leafs, BadLeafs: e.BadLeafs, Leaf: e.Leaf, SlowAnswers: e.SlowAnswers,
 	}
 }
 
@@ -123,7 +123,7 @@
 	}
 	if r := m.GetRollouts(); r.GetVersion() == sectionVersion {
 		for _, e := range r.GetEvidence() {
-			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLeaf()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() {
+			if isName(e.GetService()) && len(e.GetRoute()) <= maxNameBytes && len(e.GetLeaf()) <= maxNameBytes && len(e.GetLatencyBuckets()) <= maxLatencyBuckets && e.GetBadAnswers() <= e.GetAttempts() && e.GetSlowAnswers() <= e.GetBadAnswers() {
 				out.Rollouts = append(out.Rollouts, decodeEvidence(e))
 			}
 		}
@@ -148,7 +148,7 @@
 func decodeEvidence(e *gossippb.VersionEvidence) gateway.VersionEvidence {
 	return gateway.VersionEvidence{
 		Service: e.GetService(), Order: e.GetOrder(), Route: e.GetRoute(), Target: e.GetTarget(), Attempts: e.GetAttempts(), BadAnswers: e.GetBadAnswers(),
-		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(), Leaf: e.GetLeaf(),
+		Latencies: e.GetLatencyBuckets(), Leafs: e.GetLeafs(), BadLeafs: e.GetBadLeafs(), Leaf: e.GetLeaf(), SlowAnswers: e.GetSlowAnswers(),
 	}
 }
 
--- a/pkg/edge/sections_test.go
+++ b/pkg/edge/sections_test.go
@@ -5,10 +5,12 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
 
@@ -18,7 +20,8 @@
 	entry := gateway.DaemonEntry{Name: "d1", Incarnation: 1, Counter: 1}
 	want := gateway.Sections{
 		Quota:    []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1.5, WorkPerSecond: 135}},
-		Rollouts: []gateway.VersionEvidence{{Service: "s", Order: 9, Route: "r", Target: true, Attempts: 10, BadAnswers: 2, Latencies: []uint32{1, 9}, Leafs: 2, BadLeafs: 1}},
+		Rollouts: []gateway.VersionEvidence{{Service: "s", Order: 9, Route: "r", Target: true, Leaf: "i-1", Attempts: 10, BadAnswers: 2, SlowAnswers: 1, Latencies: []uint32{1, 9}, Leafs: 2, BadLeafs: 1}},
+		Progress: []gateway.RolloutProgress{{Service: "s", Order: 9, Acting: rollout.RolledBack, Age: 1500 * time.Millisecond, Open: 3}},
 		Capacity: []gateway.LeafCapacity{{Leaf: "i-1", Limit: 2.5, BaseLatency: 1.3}},
 	}
 	data, err := encodeGossip([]gateway.DaemonEntry{entry}, want)
@@ -30,8 +33,10 @@
 		t.Errorf("%+v, %v", got.Sections, err)
 	}
 	bad := &gossippb.Sections{
-		Quota:    &gossippb.QuotaSection{Version: sectionVersion + 1, Tenants: []*gossippb.TenantDemand{{Tenant: "x"}}},
-		Rollouts: &gossippb.RolloutSection{Version: sectionVersion, Evidence: []*gossippb.VersionEvidence{{Service: "s", Attempts: 1, BadAnswers: 2}}},
+		Quota: &gossippb.QuotaSection{Version: sectionVersion + 1, Tenants: []*gossippb.TenantDemand{{Tenant: "x"}}},
+		Rollouts: &gossippb.RolloutSection{Version: sectionVersion, Evidence: []*gossippb.VersionEvidence{{Service: "s", Attempts: 1, BadAnswers: 2}, {Service: "s", Attempts: 2, BadAnswers: 1, SlowAnswers: 2}}, Progress: []*gossippb.RolloutProgress{
+			{Service: ""}, {Service: "s", AgeMs: 1 << 60}, {Service: "s", Acting: 7}, {Service: "s", Acting: -1},
+		}},
 		Capacity: &gossippb.CapacitySection{Version: sectionVersion, Leafs: []*gossippb.LeafCapacity{{Leaf: "i", Limit: -1}, {Leaf: strings.Repeat("i", maxNameBytes+1)}}},
 	}
 	if got := decodeSections(bad); !reflect.DeepEqual(got, gateway.Sections{}) {
@@ -46,6 +51,7 @@
 		name := fmt.Sprintf("name-%d", i)
 		x.Quota = append(x.Quota, gateway.TenantDemand{Tenant: name, ArrivalsPerSecond: 1, WorkPerSecond: 1})
 		x.Rollouts = append(x.Rollouts, gateway.VersionEvidence{Service: name, Order: 1 << 50, Route: name, Attempts: 1 << 40, Latencies: make([]uint32, 12)})
+		x.Progress = append(x.Progress, gateway.RolloutProgress{Service: name, Order: 1 << 50, Age: time.Second})
 		x.Capacity = append(x.Capacity, gateway.LeafCapacity{Leaf: name, Limit: 1, BaseLatency: 1})
 	}
 	m := encodeSections(x)
