--- a/pkg/core/gateway/rollout/rollout.go
+++ b/pkg/core/gateway/rollout/rollout.go
@@ -98,6 +98,8 @@
 	local     Verdict
 	decidedAt model.Time
 	evaluated model.Time
+	// testedBad is the number of bad answers at the last test.
+	testedBad uint64
 	// ramping means that the former versions still get requests in a move to the target.
 	ramping bool
 	reason  string
--- a/pkg/core/gateway/rolloutfleet_test.go
+++ b/pkg/core/gateway/rolloutfleet_test.go
@@ -235,16 +235,6 @@
 	}
 }
 
-// restartOne ends a daemon every second and starts it again 0.4 s later.
-func (f *rolloutFleet) restartOne() {
-	d := f.daemons[f.rand.IntN(len(f.daemons))]
-	if d.running {
-		d.kill()
-		f.after(400*time.Millisecond, func() { d.start(f.now) })
-	}
-	f.after(time.Second, f.restartOne)
-}
-
 // published delivers what the store holds to the daemons that watch it.
 func (f *rolloutFleet) published() {
 	for _, d := range f.daemons {
--- a/pkg/core/gateway/rolloutleafs_test.go
+++ b/pkg/core/gateway/rolloutleafs_test.go
@@ -146,3 +146,13 @@
 	}
 	f.published()
 }
+
+// restartOne ends a daemon every second and starts it again 0.4 s later.
+func (f *rolloutFleet) restartOne() {
+	d := f.daemons[f.rand.IntN(len(f.daemons))]
+	if d.running {
+		d.kill()
+		f.after(400*time.Millisecond, func() { d.start(f.now) })
+	}
+	f.after(time.Second, f.restartOne)
+}
