--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
@@ -95,57 +94,6 @@
 	Source string
 }
 
-// ServersListed is the full list of leafs. With AfterOutage, entries that expired
-// during an outage of the store may still come back.
-type ServersListed struct {
-	Servers     []Server
-	AfterOutage bool
-}
-
-// ServerChanged is a new or changed entry of a leaf.
-type ServerChanged struct{ Server Server }
-
-// ServerRemoved is the removal of a leaf's entry.
-type ServerRemoved struct {
-	ID          string
-	AfterOutage bool
-	// Left means that the leaf is known to have left: its entry does not come back.
-	Left bool
-}
-
-// EvacuationsListed is the full list of failure domains that must get no work.
-type EvacuationsListed struct {
-	FailureDomains []string
-	// Held are those of them whose evacuation the store no longer shows since it came back
-	// from a copy.
-	Held []string
-}
-
-// StoreEraSeen is a later era of the store than those seen before. Copied means that
-// something was known in an earlier one.
-type StoreEraSeen struct {
-	Era    uint64
-	Copied bool
-}
-
-// ViewAdvanced has the store's revisions of changes that were applied before, by kind; 0
-// for a kind without one.
-type ViewAdvanced struct{ Revisions ViewRevisions }
-
-// ViewFetched reports the end of a FetchView.
-type ViewFetched struct {
-	Fetch FetchView
-	// OK means that the view was received and applied.
-	OK bool
-}
-
-// DaemonsListed is the full list of daemons in the store.
-type DaemonsListed struct {
-	Daemons []DaemonEntry
-	// Era is that of the list; 0 if the store names none.
-	Era uint64
-}
-
 // Registered means that this daemon's entry is in the store. First means that it was not
 // there before.
 type Registered struct{ First bool }
@@ -243,54 +191,6 @@
 	TopK    int
 }
 
-// Refusal says why a request is refused.
-type Refusal uint8
-
-// Refusals.
-const (
-	// RefusalNoConfig and all up to RefusalOverload promise that the request has not
-	// run and will not run later.
-	RefusalNoConfig Refusal = iota
-	RefusalNoServer
-	// RefusalThrottled and RefusalUnreachable are given on arrival, before anything is
-	// sent.
-	RefusalThrottled
-	RefusalUnreachable
-	// RefusalTooLate means that the request waited too long in this daemon to be sent
-	// to a leaf; nothing was sent.
-	RefusalTooLate
-	// RefusalStopping means that the daemon ends before an answer can be expected; nothing
-	// was sent.
-	RefusalStopping
-	// RefusalUnauthorized means that the request needs a key of a tenant and has none, or
-	// that the key was removed before the request was sent to a leaf.
-	RefusalUnauthorized
-	// RefusalQuota means that the request exceeds the quota of its tenant.
-	RefusalQuota
-	RefusalOverload
-	// RefusalNoRoute means that no route matches.
-	RefusalNoRoute
-	// RefusalFailed and RefusalDeadline do not say whether the request has run.
-	RefusalFailed
-	RefusalDeadline
-)
-
-// refusalNames are the reasons as log lines show them.
-var refusalNames = [...]string{"no_configuration", "no_server", "throttled", "unreachable", "too_late", "stopping", "unauthorized", "quota", "overload", "no_route", "failed", "deadline"}
-
-// String returns the reason as log lines show it.
-func (r Refusal) String() string { return refusalNames[r] }
-
-// IsNotRunOutcome reports whether a log line's outcome is a refusal that promises that
-// the request has not run.
-func IsNotRunOutcome(outcome string) bool {
-	i := slices.Index(refusalNames[:], outcome)
-	return i >= 0 && Refusal(i).NotRun()
-}
-
-// NotRun reports whether the refusal promises that the request has not run.
-func (r Refusal) NotRun() bool { return r <= RefusalOverload }
-
 // Refuse answers a request without an answer of a leaf.
 type Refuse struct {
 	Query  QueryID
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -27,6 +27,8 @@
 	RetrySlack float64
 	// Quota bounds the requests of tenants.
 	Quota quota.Bounds
+	// RetryWindow is the length of that window; 0 if it is not known.
+	RetryWindow time.Duration
 	// MaxSilence is how long a daemon may not be heard of before it counts as gone.
 	MaxSilence time.Duration
 	// IsSeed means that the settings of other daemons name this one as a seed.
@@ -288,6 +290,10 @@
 	// Share is this daemon's share of the quotas that all daemons divide among
 	// themselves.
 	Share float64
+	// Tenants is the number of tenants in the configuration. QuotaHolders is the number of
+	// daemons that hold shares of quotas, QuotaHolder that this one does.
+	Tenants, QuotaHolders int
+	QuotaHolder           bool
 	// RunningRollouts are the orders without a verdict in the store, ExcludedLeafs those
 	// that get no requests, or only sampled ones, because of their version.
 	RunningRollouts, ExcludedLeafs int
@@ -314,6 +320,11 @@
 			out.ExcludedLeafs++
 		}
 	}
+	if s.config != nil {
+		out.Tenants = len(s.config.Tenants)
+	}
+	holding := s.quota.Holding()
+	out.QuotaHolders, out.QuotaHolder = holding.Holders, holding.Index >= 0
 	out.RunningRollouts, out.ExposedAttempts = s.runningRollouts(), s.rollouts.exposed
 	for _, rs := range s.routes {
 		out.Throttle = max(out.Throttle, rs.throttle.lastProbability())
@@ -321,8 +332,8 @@
 	first := true
 	for _, svc := range s.services {
 		out.Queued += len(svc.queue)
-		if first || svc.retryTokens < out.LeastTokens {
-			out.LeastTokens, first = svc.retryTokens, false
+		if tokens := s.retryTokens(svc); first || tokens < out.LeastTokens {
+			out.LeastTokens, first = tokens, false
 		}
 	}
 	return out
--- a/pkg/edge/sections_test.go
+++ b/pkg/edge/sections_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/edge/gossippb"
 )
@@ -19,9 +20,10 @@
 func TestSectionsOnTheWire(t *testing.T) {
 	entry := gateway.DaemonEntry{Name: "d1", Incarnation: 1, Counter: 1}
 	want := gateway.Sections{
-		Quota:    []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1.5, WorkPerSecond: 135}},
-		Rollouts: []gateway.VersionEvidence{{Service: "s", Order: 9, Route: "r", Target: true, Leaf: "i-1", Attempts: 10, BadAnswers: 2, SlowAnswers: 1, Latencies: []uint32{1, 9}, Leafs: 2, BadLeafs: 1}},
-		Progress: []gateway.RolloutProgress{{Service: "s", Order: 9, Acting: rollout.RolledBack, Age: 1500 * time.Millisecond, Open: 3}},
+		Rollouts:   []gateway.VersionEvidence{{Service: "s", Order: 9, Route: "r", Target: true, Leaf: "i-1", Attempts: 10, BadAnswers: 2, SlowAnswers: 1, Latencies: []uint32{1, 9}, Leafs: 2, BadLeafs: 1}},
+		Progress:   []gateway.RolloutProgress{{Service: "s", Order: 9, Acting: rollout.RolledBack, Age: 1500 * time.Millisecond, Open: 3}},
+		Quota:      []gateway.TenantDemand{{Tenant: "x", ArrivalsPerSecond: 1.5, WorkPerSecond: 135, WantedShare: 0.25}},
+		QuotaLoans: []quota.Loan{{Tenant: "y", Share: 0.125}}, QuotaEcho: quota.Echo{Incarnation: 1_790_000_000_000, Counter: 7},
 		Capacity: []gateway.LeafCapacity{{Leaf: "i-1", Limit: 2.5, BaseLatency: 1.3}},
 	}
 	data, err := encodeGossip([]gateway.DaemonEntry{entry}, want)
@@ -49,6 +51,7 @@
 	var x gateway.Sections
 	for i := range 2000 {
 		name := fmt.Sprintf("name-%d", i)
+		x.QuotaLoans = append(x.QuotaLoans, quota.Loan{Tenant: name, Share: 0.1})
 		x.Quota = append(x.Quota, gateway.TenantDemand{Tenant: name, ArrivalsPerSecond: 1, WorkPerSecond: 1})
 		x.Rollouts = append(x.Rollouts, gateway.VersionEvidence{Service: name, Order: 1 << 50, Route: name, Attempts: 1 << 40, Latencies: make([]uint32, 12)})
 		x.Progress = append(x.Progress, gateway.RolloutProgress{Service: name, Order: 1 << 50, Age: time.Second})
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -32,6 +32,7 @@
 	EdgeRegistrationDone ID = 1745
 	EdgeStoreCopied      ID = 1746
 	EdgeEvacuationHeld   ID = 1747
+	EdgeExplained        ID = 1748
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
 	EdgeTenantsChanged   ID = 1760
@@ -44,6 +45,7 @@
 	EdgeRolloutActing      ID = 1772
 	EdgeRolloutVerdict     ID = 1773
 	EdgeRolloutWriteFailed ID = 1774
+	EdgeClientRefused      ID = 1752
 )
 
 var edgeEvents = []Def{
@@ -75,11 +77,13 @@
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry was written to the store."},
 	{EdgeStoreCopied, "edge_store_copied", log.WarnLevel, "The store names a new era: it came back from a copy and may lack its last writes. All kinds are listed again; what was in force stays in force."},
 	{EdgeEvacuationHeld, "edge_evacuation_held", log.WarnLevel, "The store no longer shows an evacuation since it came back from a copy. It stays in force until the operator's next word, two minutes at most."},
+	{EdgeExplained, "edge_explained", log.InfoLevel, "An operator asked how a request would be handled; no request was sent. No decisions were made for elapsed_us, while the state was copied."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeTenantsChanged, "edge_tenants_changed", log.InfoLevel, "The tenants of a new configuration are in force; number counts them, detail the keys that were added, removed, or given to another tenant."},
 	{EdgeKeysRevoked, "edge_keys_revoked", log.WarnLevel, "Keys were removed while requests with them waited; number counts the requests, which are refused or get no further attempt."},
 	{EdgeQuotaExceeded, "edge_quota_exceeded", log.InfoLevel, "A request of the tenant in subject was refused because of its quota, the first in ten seconds; number is how many requests this daemon may serve in a window."},
 	{EdgeQuotaHolding, "edge_quota_holding", log.InfoLevel, "The daemons that hold shares of quotas have changed; number counts them, detail says whether this daemon is one."},
+	{EdgeClientRefused, "edge_client_refused", log.WarnLevel, "A request outside the limits was refused, or its connection closed; client is the address. At most a few lines a second are written; left_out says how many were not since the line before, and the metric clients_refused_total counts all."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
 	{EdgeRolloutStarted, "edge_rollout_started", log.InfoLevel, "An order asks for the traffic of the service in subject to be moved to the version in detail within age_ms."},
 	{EdgeRolloutWithdrawn, "edge_rollout_withdrawn", log.InfoLevel, "The order for the version in detail is gone or replaced. Without a verdict its leafs are used only if no others are left."},
