--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -61,7 +61,14 @@
 	if result != leafChosen {
 		return result == noLeafLeft
 	}
+<<<<<<< HEAD
 	s.withdrawRetryToken(p.svc)
+=======
+	if !s.hedgeHelps(q, p, srv) {
+		return false
+	}
+	p.svc.withdrawRetryToken()
+>>>>>>> capacity
 	s.sendCall(q, i, srv, true)
 	return true
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -31,6 +31,11 @@
 	viewPath = "/view"
 	// retainedParam asks for the retained objects with a view.
 	retainedParam = "retained"
+	// capacitiesParam asks for what a daemon has learned about leafs.
+	capacitiesParam = "capacities"
+	// maxCapacities bounds the leafs of which knowledge is taken over, about twice the
+	// 2,300 leafs that are planned.
+	maxCapacities = 5000
 )
 
 // Peers exchanges gossip over UDP and views over HTTP with the other daemons, both at
@@ -42,6 +47,8 @@
 	follower *Follower
 	onError  func(peer string, err error)
 	traffic  PeerTraffic
+	// capacities returns what this daemon has learned about leafs; nil if it is not shared.
+	capacities func() []gateway.LeafCapacity
 }
 
 // PeerTraffic counts the bytes exchanged between daemons: gossip without the headers of
@@ -113,28 +120,47 @@
 // FetchView fetches another daemon's view in the background and adopts it.
 func (p *Peers) FetchView(e gateway.FetchView) {
 	go func() {
+		var capacities []gateway.LeafCapacity
 		err := catchPanic(func() error {
 			since := p.follower.Positions()
-			view, err := p.requestView(e.From, since, e.Retained)
+			view, err := p.requestView(e.From, since, e.Retained, e.Capacities)
 			if err == nil {
 				p.follower.Adopt(view, since)
+				capacities = usableCapacities(view.Capacities)
 			}
 			return err
 		})
 		if err != nil {
 			p.onError(e.From, err)
 		}
-		p.post(gateway.ViewFetched{Fetch: e, OK: err == nil})
+		p.post(gateway.ViewFetched{Fetch: e, OK: err == nil, Capacities: capacities})
 	}()
 }
 
+// ShareCapacities lets daemons that start fetch what this one has learned about leafs.
+func (p *Peers) ShareCapacities(capacities func() []gateway.LeafCapacity) { p.capacities = capacities }
+
+// usableCapacities returns the entries that a daemon can have learned, up to maxCapacities.
+func usableCapacities(list []gateway.LeafCapacity) []gateway.LeafCapacity {
+	var out []gateway.LeafCapacity
+	for _, c := range list[:min(len(list), maxCapacities)] {
+		if isName(c.Leaf) && isAmount(c.Limit) && isAmount(c.BaseLatency) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // requestView fetches what another daemon knows beyond the given positions, if asked with
-// the objects that it has retained.
-func (p *Peers) requestView(from string, since map[Kind]Position, retained bool) (View, error) {
+// the objects that it has retained and with what it has learned about leafs.
+func (p *Peers) requestView(from string, since map[Kind]Position, retained, capacities bool) (View, error) {
 	query := url.Values{}
 	if retained {
 		query.Set(retainedParam, "1")
 	}
+	if capacities {
+		query.Set(capacitiesParam, "1")
+	}
 	for kind, position := range since {
 		query.Set(string(kind), position.String())
 	}
@@ -195,6 +221,9 @@
 		if r.URL.Query().Has(retainedParam) {
 			view.Retained = p.follower.RetainedObjects()
 		}
+		if p.capacities != nil && r.URL.Query().Has(capacitiesParam) {
+			view.Capacities = p.capacities()
+		}
 		if err := writeView(counted, r, view); err != nil {
 			p.onError(r.RemoteAddr, err)
 		}
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -46,6 +46,10 @@
 	EdgeRolloutVerdict     ID = 1773
 	EdgeRolloutWriteFailed ID = 1774
 	EdgeClientRefused      ID = 1752
+
+	EdgeReportsIgnored ID = 1780
+	EdgeReportsTrusted ID = 1781
+	EdgeCapacityStart  ID = 1782
 )
 
 var edgeEvents = []Def{
@@ -90,4 +94,7 @@
 	{EdgeRolloutActing, "edge_rollout_acting", log.WarnLevel, "The daemon acts on a verdict that the store does not have yet: on rolled_back it sends nothing to the version, on completed it sends all requests there."},
 	{EdgeRolloutVerdict, "edge_rollout_verdict", log.InfoLevel, "The store has the verdict on the version of the service in subject."},
 	{EdgeRolloutWriteFailed, "edge_rollout_write_failed", log.WarnLevel, "A verdict could not be written, or the write may have taken effect; the order is read and the write repeated."},
+	{EdgeReportsIgnored, "edge_reports_ignored", log.WarnLevel, "What a leaf reports about the speed of its VM does not show in its latency; its reports are ignored."},
+	{EdgeReportsTrusted, "edge_reports_trusted", log.InfoLevel, "What a leaf reports about the speed of its VM shows in its latency again and is used."},
+	{EdgeCapacityStart, "edge_capacity_start", log.InfoLevel, "The daemon starts from what another one, subject, has learned about number leafs."},
 }
