Answers are checked before net/http reads them

Package answers checks the status line and the framing of each answer, for leafs, the store and the views of other daemons.

FuzzAnswer skips the check of new connections, since its connection has no descriptor.

--- a/pkg/edge/calls.go
+++ b/pkg/edge/calls.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/leafconn"
 )
@@ -40,6 +41,9 @@
 		answer, err := r.pool.Do(x)
 		if err != nil {
 			done.Outcome = outcomeOf(err)
+			if errors.Is(err, answers.ErrInvalid) {
+				r.onInvalid(e.Service, e.Server, err)
+			}
 			return nil
 		}
 		a := r.protocol.FromLeaf(answer.Status, answer.Header)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -36,6 +36,7 @@
 	lag           func() time.Duration
 	leafFields    []string
 	onRefusal     func(client, reason string)
+	onInvalid     func(service, server string, err error)
 }
 
 // PeerLink sends messages to other daemons. Its methods must not block.
@@ -86,6 +87,9 @@
 	// OnRefusal, if set, is called with the address of each client whose request is outside
 	// the limits, and why; it must not block.
 	OnRefusal func(client, reason string)
+	// OnInvalidAnswer, if set, is called when a leaf sent bytes that are no answer; it must
+	// not block.
+	OnInvalidAnswer func(service, server string, err error)
 }
 
 // New returns a Runtime; Link must be called before the first event.
@@ -96,12 +100,15 @@
 	if c.OnRefusal == nil {
 		c.OnRefusal = func(string, string) {}
 	}
+	if c.OnInvalidAnswer == nil {
+		c.OnInvalidAnswer = func(string, string, error) {}
+	}
 	r := &Runtime{
 		lag: c.Lag, protocol: c.Protocol, pool: c.Pool, budget: c.Budget, log: c.Log, observer: c.Observer,
 		start: time.Now(), core: c.Core, onLimits: c.OnLimits, onPanic: c.OnPanic,
 		pending:       map[gateway.QueryID]*pendingRequest{},
 		calls:         map[gateway.CallID]*leafconn.Exchange{},
-		scheduledWake: model.Never, onRefusal: c.OnRefusal,
+		scheduledWake: model.Never, onRefusal: c.OnRefusal, onInvalid: c.OnInvalidAnswer,
 	}
 	if c.Protocol != nil {
 		r.leafFields = leafFields(c.Protocol)
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
@@ -56,7 +57,7 @@
 func NewPeers(socket *net.UDPConn, post func(gateway.Event), f *Follower, onError func(string, error)) *Peers {
 	return &Peers{
 		socket: socket, post: post, follower: f, onError: onError,
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxReplyHeaderBytes}},
+		client: &http.Client{Transport: answers.Transport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxReplyHeaderBytes})},
 	}
 }
 
@@ -159,7 +160,12 @@
 		body = z
 	}
 	limited := &io.LimitedReader{R: body, N: maxViewBytes}
-	err = json.NewDecoder(limited).Decode(&view)
+	decoder := json.NewDecoder(limited)
+	err = decoder.Decode(&view)
+	if err == nil {
+		// Only the end of the body shows that the answer is complete.
+		err = atEnd(decoder)
+	}
 	switch {
 	case err != nil && limited.N <= 0:
 		return View{}, fmt.Errorf("edge: fetch view: body exceeds %d bytes", maxViewBytes)
@@ -172,6 +178,21 @@
 	return view, nil
 }
 
+// errAfterView means that a body goes on after a view.
+var errAfterView = errors.New("edge: bytes after the view")
+
+// atEnd reads what follows a decoded value and returns an error unless the body ends.
+func atEnd(d *json.Decoder) error {
+	_, err := d.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errAfterView
+	}
+	return err
+}
+
 // Handler serves this daemon's view.
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -162,7 +162,8 @@
 			d.callerConns.SetIdleLimit(l.IdleTimeout)
 			d.setHeaderLimit(l.MaxHeaderBytes)
 		},
-		OnRefusal: func(client, reason string) { d.refusals.refused("caller", client, reason) },
+		OnInvalidAnswer: d.refusals.invalidAnswer,
+		OnRefusal:       func(client, reason string) { d.refusals.refused("caller", client, reason) },
 	})
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -61,6 +61,7 @@
 	storeCalls    *prometheus.CounterVec
 	connsOpened   prometheus.Counter
 	refused       *prometheus.CounterVec
+	invalid       *prometheus.CounterVec
 	services      labelValues
 	routes        labelValues
 }
@@ -85,6 +86,7 @@
 		calls:         counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
 		callTime:      histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
 		refused:       counter("clients_refused_total", "Requests outside the limits that were refused, and connections that were closed for them, by listener and reason.", "listener", "reason"),
+		invalid:       counter("invalid_answers_total", "Attempts at leafs that got bytes which are no answer in HTTP/1.", "service"),
 		storeCalls:    counter("store_calls_total", "Calls to the store.", "kind", "operation", "outcome"),
 	}
 	m.connsOpened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
@@ -116,6 +118,11 @@
 	}
 }
 
+// countInvalid counts an attempt at a leaf of the service that got an invalid answer.
+func (m *Metrics) countInvalid(service string) {
+	m.invalid.WithLabelValues(m.services.valueOrOther(service)).Inc()
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(kind edge.Kind, operation, outcome string) {
 	m.storeCalls.WithLabelValues(string(kind), operation, outcome).Inc()
--- a/pkg/edged/refusals.go
+++ b/pkg/edged/refusals.go
@@ -10,37 +10,21 @@
 	"github.com/pistachiousher/pistachiousher/pkg/logwriter"
 )
 
-// maxRefusalLinesPerSecond bounds the log lines for refused clients, which choose how many
-// there are.
+// maxRefusalLinesPerSecond bounds the log lines for refused clients, and those for invalid
+// answers of leafs, which choose how many there are.
 const maxRefusalLinesPerSecond = 5
 
-// refusalLog counts refused clients and logs some of them. It is safe for concurrent use.
-type refusalLog struct {
-	out     *logwriter.Writer
-	metrics *Metrics
-
+// lineLimit bounds the lines of a second. It is safe for concurrent use.
+type lineLimit struct {
 	mu      sync.Mutex
 	second  int64
 	written int
 	leftOut int
 }
 
-// refused counts a refusal and writes its line, unless there are too many in this second.
-// The reason is one of a fixed set.
-func (l *refusalLog) refused(listener, client, reason string) {
-	l.metrics.refused.WithLabelValues(listener, reason).Inc()
-	leftOut, ok := l.allowLine(time.Now().Unix())
-	if !ok {
-		return
-	}
-	l.out.Write(logevent.EdgeClientRefused, []logevent.Field{
-		logevent.Str("listener", listener), logevent.Str("client", client), logevent.Str("reason", reason), logevent.Int("left_out", leftOut),
-	})
-}
-
 // allowLine reports whether a line may be written in a second, and how many were left out
 // before it.
-func (l *refusalLog) allowLine(second int64) (leftOut int, ok bool) {
+func (l *lineLimit) allowLine(second int64) (leftOut int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if second != l.second {
@@ -55,6 +39,40 @@
 	return leftOut, true
 }
 
+// refusalLog counts what others send outside the limits or the protocol, and logs some of
+// it. It is safe for concurrent use.
+type refusalLog struct {
+	out     *logwriter.Writer
+	metrics *Metrics
+
+	clients, answers lineLimit
+}
+
+// refused counts a refusal of a client and writes its line, unless there are too many in
+// this second. The reason is one of a fixed set.
+func (l *refusalLog) refused(listener, client, reason string) {
+	l.metrics.refused.WithLabelValues(listener, reason).Inc()
+	leftOut, ok := l.clients.allowLine(time.Now().Unix())
+	if !ok {
+		return
+	}
+	l.out.Write(logevent.EdgeClientRefused, []logevent.Field{
+		logevent.Str("listener", listener), logevent.Str("client", client), logevent.Str("reason", reason), logevent.Int("left_out", leftOut),
+	})
+}
+
+// invalidAnswer counts bytes of a leaf that are no answer, and writes a line for some.
+func (l *refusalLog) invalidAnswer(service, server string, err error) {
+	l.metrics.countInvalid(service)
+	leftOut, ok := l.answers.allowLine(time.Now().Unix())
+	if !ok {
+		return
+	}
+	l.out.Write(logevent.EdgeAnswerInvalid, []logevent.Field{
+		logevent.Str("server", server), logevent.Str("error", err.Error()), logevent.Int("left_out", leftOut),
+	})
+}
+
 // headSlack is added to the limit of a head: the configuration limits names, values and
 // the request line, and here the bytes between them count as well. net/http adds as much.
 const headSlack = 4 << 10
--- a/pkg/edged/refusals_test.go
+++ b/pkg/edged/refusals_test.go
@@ -5,7 +5,7 @@
 // Guards against a client that fills the log with lines about its refusals, and against
 // lines that do not say how many others there were.
 func TestRefusalLinesAreBounded(t *testing.T) {
-	var l refusalLog
+	var l lineLimit
 	written := 0
 	for range 100 {
 		if _, ok := l.allowLine(7); ok {
--- a/pkg/inbound/framing.go
+++ b/pkg/httpframe/framing.go
@@ -1,4 +1,4 @@
-package inbound
+package httpframe
 
 import (
 	"bytes"
@@ -6,21 +6,21 @@
 	"strings"
 )
 
-// body tells how the body of a request is delimited, as net/http reads it.
-type body struct {
-	length  int64
-	chunked bool
+// Body tells how the body of a message is delimited, as net/http reads it.
+type Body struct {
+	Length  int64
+	Chunked bool
 }
 
-// bodyOf reads the framing of a request from its head. Where net/http refuses a head, and
+// RequestBody reads the framing of a request from its head. Where net/http refuses a head, and
 // closes the connection, the result does not matter.
-func bodyOf(head []byte) body {
-	line, rest := cutLine(head)
+func RequestBody(head []byte) Body {
+	line, rest := CutLine(head)
 	// net/http ignores Transfer-Encoding in HTTP/1.0.
 	old := bytes.HasSuffix(line, []byte(" HTTP/1.0"))
-	var b body
+	var b Body
 	for len(rest) > 0 {
-		line, rest = cutLine(rest)
+		line, rest = CutLine(rest)
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		isLength := bytes.EqualFold(name, []byte("Content-Length"))
 		if !isLength && !bytes.EqualFold(name, []byte("Transfer-Encoding")) {
@@ -31,20 +31,20 @@
 		switch {
 		case isLength:
 			if n, err := strconv.ParseUint(text, 10, 63); err == nil {
-				b.length = int64(n)
+				b.Length = int64(n)
 			}
 		case !old && strings.EqualFold(text, "chunked"):
-			b.chunked = true
+			b.Chunked = true
 		}
 	}
-	if b.chunked {
-		b.length = 0
+	if b.Chunked {
+		b.Length = 0
 	}
 	return b
 }
 
-// cutLine returns the first line of p without its end, and what follows it.
-func cutLine(p []byte) (line, rest []byte) {
+// CutLine returns the first line of p without its end, and what follows it.
+func CutLine(p []byte) (line, rest []byte) {
 	line, rest, _ = bytes.Cut(p, []byte("\n"))
 	return bytes.TrimSuffix(line, []byte("\r")), rest
 }
@@ -56,16 +56,17 @@
 	text := string(bytes.Trim(value, blanks))
 	for len(rest) > 0 && (rest[0] == ' ' || rest[0] == '\t') {
 		var line []byte
-		line, rest = cutLine(rest)
+		line, rest = CutLine(rest)
 		text += " " + string(bytes.Trim(line, blanks))
 	}
 	return strings.Trim(text, blanks), rest
 }
 
-// chunkScanner follows a chunked body to its end. It accepts more than net/http, which
+// ChunkScanner follows a chunked body to its end. It accepts more than net/http, which
 // closes the connection after a body that it does not accept.
-type chunkScanner struct {
+type ChunkScanner struct {
 	part    chunkPart
+	hasData bool
 	size    uint64
 	sizeEnd bool
 	// line is the length of the current line of the trailer without CR.
@@ -82,12 +83,13 @@
 	chunkTrailer
 )
 
-// scan reads the next bytes and returns the number of those that belong to the body, and
+// Scan reads the next bytes and returns the number of those that belong to the body, and
 // whether it ends in them.
-func (s *chunkScanner) scan(p []byte) (n int, done bool) {
+func (s *ChunkScanner) Scan(p []byte) (n int, done bool) {
 	for i := 0; i < len(p); {
 		switch s.part {
 		case chunkData:
+			s.hasData = true
 			step := min(s.size, uint64(len(p)-i))
 			i += int(step)
 			if s.size -= step; s.size == 0 {
@@ -116,7 +118,10 @@
 	return len(p), false
 }
 
-func (s *chunkScanner) readSize(c byte) {
+// HasData reports whether a byte of a chunk was read.
+func (s *ChunkScanner) HasData() bool { return s.hasData }
+
+func (s *ChunkScanner) readSize(c byte) {
 	switch digit := hexDigit(c); {
 	case c == '\n' && s.size == 0:
 		s.part = chunkTrailer
--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/httpframe"
 )
 
 const (
@@ -37,11 +39,11 @@
 	buffer         []byte
 	pooled         *[initialBuffer]byte
 	scanned, ready int
-	head           headScanner
+	head           httpframe.HeadScanner
 	lineEnds       int
 	inBody         bool
-	body           body
-	chunks         chunkScanner
+	body           httpframe.Body
+	chunks         httpframe.ChunkScanner
 	// ownDeadline means that the read deadline is that of the head.
 	ownDeadline bool
 	// refused ends the connection after a refusal.
@@ -81,7 +83,7 @@
 	if len(c.buffer) == 0 {
 		n, err := c.Conn.Read(p)
 		data := p[:c.skipLineEnds(p[:n])]
-		end, done := c.head.scan(data)
+		end, done := c.head.Scan(data)
 		if done && end <= c.listener.config.MaxHeadBytes() {
 			return c.passInPlace(data, end)
 		}
@@ -144,7 +146,7 @@
 	if c.scanned == 0 {
 		c.buffer = c.buffer[:c.skipLineEnds(c.buffer)]
 	}
-	end, done = c.head.scan(c.buffer[c.scanned:])
+	end, done = c.head.Scan(c.buffer[c.scanned:])
 	if done {
 		return c.scanned + end, true
 	}
@@ -154,7 +156,7 @@
 
 // skipLineEnds removes CR and LF before a head and returns the number of bytes left.
 func (c *Conn) skipLineEnds(p []byte) int {
-	if len(p) == 0 || c.head.started() || p[0] != '\r' && p[0] != '\n' {
+	if len(p) == 0 || c.head.Started() || p[0] != '\r' && p[0] != '\n' {
 		return len(p)
 	}
 	n := 1
@@ -167,12 +169,12 @@
 
 // begin reserves the memory of a complete head and prepares for its body.
 func (c *Conn) begin(head []byte) bool {
-	if !c.reserveRequest(parsedCost(len(head), c.head.lines)) {
+	if !c.reserveRequest(parsedCost(len(head), c.head.Lines)) {
 		return false
 	}
-	c.body = bodyOf(head)
-	c.inBody = c.body.chunked || c.body.length > 0
-	c.chunks, c.head, c.lineEnds = chunkScanner{}, headScanner{}, 0
+	c.body = httpframe.RequestBody(head)
+	c.inBody = c.body.Chunked || c.body.Length > 0
+	c.chunks, c.head, c.lineEnds = httpframe.ChunkScanner{}, httpframe.HeadScanner{}, 0
 	if c.ownDeadline {
 		c.ownDeadline = false
 		c.mu.Lock()
@@ -192,8 +194,8 @@
 		c.consume(n)
 		return n, nil
 	}
-	if !c.body.chunked {
-		p = p[:min(int64(len(p)), c.body.length)]
+	if !c.body.Chunked {
+		p = p[:min(int64(len(p)), c.body.Length)]
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
@@ -208,14 +210,14 @@
 
 // bodyPart returns how many of the received bytes belong to the body.
 func (c *Conn) bodyPart(data []byte) int {
-	if c.body.chunked {
-		n, done := c.chunks.scan(data)
+	if c.body.Chunked {
+		n, done := c.chunks.Scan(data)
 		c.inBody = !done
 		return n
 	}
-	n := min(int64(len(data)), c.body.length)
-	c.body.length -= n
-	c.inBody = c.body.length > 0
+	n := min(int64(len(data)), c.body.Length)
+	c.body.Length -= n
+	c.inBody = c.body.Length > 0
 	return int(n)
 }
 
@@ -236,7 +238,7 @@
 			return 0, c.refuse(Pipelined, p)
 		}
 		if n = c.skipLineEnds(p[:1]); n > 0 {
-			c.head.scan(p[:1])
+			c.head.Scan(p[:1])
 			return 1, nil
 		}
 		if c.lineEnds > maxLeadingLineEnds {
--- a/pkg/inbound/fuzz_test.go
+++ b/pkg/inbound/fuzz_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/httpframe"
 )
 
 // fakeConn delivers bytes in pieces of a size and then io.EOF.
@@ -144,9 +146,9 @@
 		}
 		// The reader stops behind the last chunk; what follows is an empty trailer here.
 		data := text[:len(text)-in.Len()-buffered.Buffered()] + "\r\nGET"
-		var s chunkScanner
+		var s httpframe.ChunkScanner
 		for at := 0; ; {
-			n, done := s.scan([]byte(data[at:min(len(data), at+piece)]))
+			n, done := s.Scan([]byte(data[at:min(len(data), at+piece)]))
 			at += n
 			if done {
 				if data[at:] != "GET" {
--- a/pkg/leafconn/conn.go
+++ b/pkg/leafconn/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers"
 	"github.com/pistachiousher/pistachiousher/pkg/netpeek"
 )
 
@@ -17,23 +18,29 @@
 	net.Conn
 	server  string
 	limiter limitedReader
-	// reader reads through limiter.
+	// checked reads through limiter, and reader through checked.
+	checked   *answers.Reader
 	reader    *bufio.Reader
+	fresh     bool
 	idleUntil time.Time
 	// echoesIDs means that an answer on this connection named its request.
 	echoesIDs bool
 }
 
 func newConn(raw net.Conn, server string) *conn {
-	c := &conn{Conn: raw, server: server, limiter: limitedReader{raw: raw}}
-	c.reader = bufio.NewReaderSize(&c.limiter, readBufferBytes)
+	c := &conn{Conn: raw, server: server, limiter: limitedReader{raw: raw}, fresh: true}
+	c.checked = answers.NewReader(&c.limiter)
+	c.reader = bufio.NewReaderSize(c.checked, readBufferBytes)
 	return c
 }
 
+// buffered returns the number of bytes that were received and not read.
+func (c *conn) buffered() int { return c.reader.Buffered() + c.checked.Buffered() }
+
 // isReusable reports whether the connection is open and nothing was received on it
 // while it was idle. Bytes received without a request belong to no request.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.buffered() > 0 {
 		return false
 	}
 	status, err := netpeek.Peek(c.Conn)
--- a/pkg/leafconn/exchange.go
+++ b/pkg/leafconn/exchange.go
@@ -182,6 +182,12 @@
 	if x.BeforeSend != nil && !x.BeforeSend() {
 		return nil, min(defaultIdleTime, time.Until(deadline)), ErrCancelled
 	}
+	// A connection that was idle was checked when it was taken.
+	if c.fresh && !c.isReusable() {
+		return nil, 0, fmt.Errorf("%w: bytes arrived before the request, or the connection ended", ErrConnect)
+	}
+	c.fresh = false
+	c.checked.SetMethod(x.Request.Method == http.MethodHead)
 	if err := sendRequest(x, c); err != nil {
 		return nil, 0, err
 	}
@@ -208,7 +214,7 @@
 			}
 			return nil, 0, ErrForeignAnswer
 		}
-		if resp.Close || skipped > 0 || c.reader.Buffered() > 0 {
+		if resp.Close || skipped > 0 || c.buffered() > 0 {
 			keepFor = 0
 		} else {
 			// At most the time left for this exchange: the longer a connection is idle,
--- a/pkg/leafconn/fuzz_test.go
+++ b/pkg/leafconn/fuzz_test.go
@@ -43,6 +43,8 @@
 			Match: matchIf(func(resp *http.Response) bool { return resp.Header.Get("Id") == "a" })}
 		raw := scriptedConn{in: bytes.NewReader(data)}
 		c := newConn(raw, "l")
+		// The connection cannot be inspected as a new one is.
+		c.fresh = false
 		answer, keepFor, err := NewPool(nil, NewBudget(1<<20)).roundTrip(x, c)
 		if (answer == nil) == (err == nil) {
 			t.Fatalf("answer %+v and error %v", answer, err)
@@ -60,8 +62,8 @@
 		if n, err := strconv.Atoi(length); err == nil && len(answer.Body) != n && answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
 			t.Fatalf("body of %d bytes, %s stated", len(answer.Body), length)
 		}
-		if keepFor > 0 && c.reader.Buffered() > 0 {
-			t.Fatalf("%d unread bytes on a connection that is kept", c.reader.Buffered())
+		if keepFor > 0 && c.buffered() > 0 {
+			t.Fatalf("%d unread bytes on a connection that is kept", c.buffered())
 		}
 	})
 }
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -33,6 +33,7 @@
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
 	EdgeClientRefused    ID = 1752
+	EdgeAnswerInvalid    ID = 1753
 )
 
 var edgeEvents = []Def{
@@ -64,5 +65,6 @@
 	{EdgeRegistrationDone, "edge_registration_done", log.InfoLevel, "The daemon's entry was written to the store."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeClientRefused, "edge_client_refused", log.WarnLevel, "A request outside the limits was refused, or its connection closed; client is the address. At most a few lines a second are written; left_out says how many were not since the line before, and the metric clients_refused_total counts all."},
+	{EdgeAnswerInvalid, "edge_answer_invalid", log.WarnLevel, "A leaf sent bytes that are no answer in HTTP/1; the attempt counts as lost. error quotes the first of them. At most a few lines a second are written; left_out says how many were not since the line before, and the metric invalid_answers_total counts all."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
 }
