--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -61,14 +61,10 @@
 	if result != leafChosen {
 		return result == noLeafLeft
 	}
-<<<<<<< HEAD
-	s.withdrawRetryToken(p.svc)
-=======
 	if !s.hedgeHelps(q, p, srv) {
 		return false
 	}
-	p.svc.withdrawRetryToken()
->>>>>>> capacity
+	s.withdrawRetryToken(p.svc)
 	s.sendCall(q, i, srv, true)
 	return true
 }
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -166,7 +166,8 @@
 			d.callerConns.SetIdleLimit(l.IdleTimeout)
 			d.setHeaderLimit(l.MaxHeaderBytes)
 		},
-		OnRefusal: func(client, reason string) { d.refusals.refused("caller", client, reason) },
+		OnInvalidAnswer: d.refusals.invalidAnswer,
+		OnRefusal:       func(client, reason string) { d.refusals.refused("caller", client, reason) },
 	})
 	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
