--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -35,6 +35,8 @@
 	EdgeExplained        ID = 1748
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
+	EdgeClientRefused    ID = 1752
+	EdgeAnswerInvalid    ID = 1753
 	EdgeTenantsChanged   ID = 1760
 	EdgeKeysRevoked      ID = 1761
 	EdgeQuotaExceeded    ID = 1762
@@ -45,13 +47,10 @@
 	EdgeRolloutActing      ID = 1772
 	EdgeRolloutVerdict     ID = 1773
 	EdgeRolloutWriteFailed ID = 1774
-	EdgeClientRefused      ID = 1752
 
 	EdgeReportsIgnored ID = 1780
 	EdgeReportsTrusted ID = 1781
 	EdgeCapacityStart  ID = 1782
-	EdgeClientRefused  ID = 1752
-	EdgeAnswerInvalid  ID = 1753
 )
 
 var edgeEvents = []Def{
