--- a/pkg/edge/invalidviews_test.go
+++ b/pkg/edge/invalidviews_test.go
@@ -14,7 +14,7 @@
 	for _, c := range answerstest.Cases("Content-Type: application/json\r\n", `{"kinds":{}}`) {
 		t.Run(c.Name, func(t *testing.T) {
 			p := NewPeers(nil, func(gateway.Event) {}, newRecordingFollower(newFakeStore()).Follower, func(string, error) {})
-			if _, err := p.requestView(answerstest.Serve(t, c.Raw), nil); (err == nil) != (c.Status == http.StatusOK) {
+			if _, err := p.requestView(answerstest.Serve(t, c.Raw), nil, false, false); (err == nil) != (c.Status == http.StatusOK) {
 				t.Errorf("error %v", err)
 			}
 		})
