--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -22,6 +22,8 @@
 		{Name: "status", Synopsis: "show the state of an edge daemon and the daemons that it knows", New: func() Action { return new(edgeStatusAction) }},
 		{Name: "routes", Synopsis: "show the configuration in force at an edge daemon", New: func() Action { return new(edgeRoutesAction) }},
 		{Name: "leafs", Args: "[SERVICE]", Synopsis: "show what an edge daemon knows of leafs", New: func() Action { return new(edgeLeafsAction) }},
+		{Name: "tenants", Synopsis: "show the tenants and the use of their quotas at an edge daemon", New: func() Action { return new(edgeTenantsAction) }},
+		{Name: "rollouts", Synopsis: "show the orders of roll-outs that an edge daemon knows", New: func() Action { return new(edgeRolloutsAction) }},
 		{Name: "explain", Args: "HOST PATH", Synopsis: "show where a request would go now", New: func() Action { return new(edgeExplainAction) }},
 		{Name: "follow", Args: "REQUEST-ID [FILE...]", Synopsis: "find a request in logs, from files or standard input", New: func() Action { return new(edgeFollowAction) }},
 		{Name: "report", Args: "[FILE...]", Synopsis: "show from logs how requests ended and what they waited for", New: func() Action { return new(edgeReportAction) }},
@@ -51,17 +53,23 @@
 	if len(query) > 0 {
 		target += "?" + query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	return askDaemon(ctx, e.address, http.MethodGet, target, nil, into)
+}
+
+// askDaemon sends a request to the daemon at address and decodes the JSON reply into the
+// value that into points to.
+func askDaemon(ctx context.Context, address, method, target string, body io.Reader, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
-		return usageError("-daemon: %q is not ip:port", e.address)
+		return usageError("-daemon: %q is not ip:port", address)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: %v", e.address, err), Next: "check the address and that the daemon runs"}
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: %v", address, err), Next: "check the address and that the daemon runs"}
 	}
 	defer resp.Body.Close()
 	if err := json.NewDecoder(resp.Body).Decode(into); err != nil || resp.StatusCode != http.StatusOK {
-		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: status %d, %v", e.address, resp.StatusCode, err), Next: "check that this is the admin address of an edge daemon"}
+		return &Failure{Code: ExitFailed, Message: fmt.Sprintf("daemon %s: status %d, %v", address, resp.StatusCode, err), Next: "check that this is the admin address of an edge daemon"}
 	}
 	return nil
 }
@@ -105,7 +113,11 @@
 func (s edgeStatus) WriteText(w io.Writer) error {
 	st := s.Status
 	out := fmt.Sprintf("%s: ready %v, configuration %d, leafs revision %d, evacuations revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.View.Servers, st.View.Evacuations, st.ViewAge)
-	out += fmt.Sprintf("store: watched %v, down %v\n", st.Watcher, st.StoreDown)
+	out += fmt.Sprintf("store: watched %v, down %v", st.Watcher, st.StoreDown)
+	if st.StoreEra > 0 {
+		out += fmt.Sprintf(", era %d, %d evacuations held", st.StoreEra, st.HeldEvacuations)
+	}
+	out += "\n"
 	out += fmt.Sprintf("leafs: %d, cold %d, suspect %d\n", st.Leafs, st.ColdLeafs, st.SuspectLeafs)
 	out += fmt.Sprintf("open: %d requests, %d calls, %d queued; least retry budget %.1f, throttle %.2f, share %.3f\n",
 		st.OpenRequests, st.OpenCalls, st.Queued, st.LeastTokens, st.Throttle, st.Share)
@@ -175,8 +187,8 @@
 func (l edgeLeafs) WriteText(w io.Writer) error {
 	var out strings.Builder
 	for _, x := range l {
-		fmt.Fprintf(&out, "%s %s %s %s: usable %v, draining %v, evacuated %v, cold %d ms, calls %d, load %.1f, latency x%.1f, failures %.2f, silent %d ms\n",
-			x.Service, x.ID, x.Address, x.FailureDomain, x.Usable, x.Draining, x.Evacuated, x.ColdMS, x.OpenCalls, x.Load, x.RelativeLatency, x.FailureRate, x.SilentMS)
+		fmt.Fprintf(&out, "%s %s %s %s: version %s, usable %v, excluded by version %v, draining %v, evacuated %v, cold %d ms, calls %d, load %.1f, latency x%.1f, failures %.2f, silent %d ms\n",
+			x.Service, x.ID, x.Address, x.FailureDomain, x.Version, x.Usable, x.Excluded, x.Draining, x.Evacuated, x.ColdMS, x.OpenCalls, x.Load, x.RelativeLatency, x.FailureRate, x.SilentMS)
 	}
 	_, err := io.WriteString(w, out.String())
 	return err
@@ -197,44 +209,3 @@
 	}
 	return l, nil
 }
-
-// edgeExplainAction shows the route and the leafs that a request would use now.
-type edgeExplainAction struct{ edgeFlag }
-
-type edgeExplanation struct{ gateway.Explanation }
-
-// WriteText implements Result.
-func (e edgeExplanation) WriteText(w io.Writer) error {
-	if e.Route == nil {
-		_, err := fmt.Fprintf(w, "configuration %d has no route for it\n", e.ConfigVersion)
-		return err
-	}
-	r := e.Route
-	out := fmt.Sprintf("configuration %d, view age %d ms\nroute %s: %s%s %s\n", e.ConfigVersion, e.ViewAgeMS, r.Name, r.Host, r.PathPrefix, destination(r))
-	out += fmt.Sprintf("idempotent %v, attempts %d, timeout %v, target %v, hedge after %.0f ms, partial answer at %.0f ms\n",
-		r.Idempotent, r.MaxAttempts, r.Timeout, r.LatencyTarget, e.HedgeAfterMS, e.AnswerByMS)
-	if _, err := io.WriteString(w, out); err != nil {
-		return err
-	}
-	for _, s := range e.Services {
-		if _, err := fmt.Fprintf(w, "service %s: %d leafs, retry budget %.1f, queued %d, %d connections a leaf\n", s.Name, len(s.Leafs), s.RetryTokens, s.Queued, s.Connections); err != nil {
-			return err
-		}
-		if err := edgeLeafs(s.Leafs).WriteText(w); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// Run implements Action.
-func (a *edgeExplainAction) Run(ctx context.Context, _ *Env, args []string) (Result, error) {
-	if len(args) != 2 {
-		return nil, usageError("want a host and a path")
-	}
-	var e edgeExplanation
-	if err := a.fetchJSON(ctx, edged.ExplainPath, url.Values{"host": {args[0]}, "path": {args[1]}}, &e.Explanation); err != nil {
-		return nil, err
-	}
-	return e, nil
-}
--- a/pkg/core/gateway/sections.go
+++ b/pkg/core/gateway/sections.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/rollout"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -15,8 +17,13 @@
 // Sections are what a daemon tells the others about its own requests and attempts. Each
 // list is in the order of importance and is cut where a message would become too large.
 type Sections struct {
-	Quota    []TenantDemand
-	Rollouts []VersionEvidence
+	Quota []TenantDemand
+	// QuotaLoans are for the receiver alone; QuotaEcho names the message that they answer.
+	QuotaLoans []quota.Loan
+	QuotaEcho  quota.Echo
+	Rollouts   []VersionEvidence
+	// Progress tells of the running orders that Rollouts is about.
+	Progress []RolloutProgress
 	Capacity []LeafCapacity
 }
 
@@ -26,23 +33,17 @@
 	ArrivalsPerSecond float64
 	// WorkPerSecond is the work of these requests, in attempts at leafs.
 	WorkPerSecond float64
+	// WantedShare is the share of the tenant's quota that the daemon needs beyond what it
+	// holds.
+	WantedShare float64
 }
 
 // VersionEvidence is what a daemon's own attempts show of a version of a service's software
-// on one route. Counts are cumulative since the start of the daemon's process.
-type VersionEvidence struct {
-	Service string
-	// Order identifies the order of the roll-out.
-	Order uint64
-	Route string
-	// Target tells the target version from the versions before.
-	Target               bool
-	Attempts, BadAnswers uint64
-	// Latencies are numbers of answers by latency, in buckets of package rollout.
-	Latencies []uint32
-	// Leafs is the number of leafs that answered, BadLeafs of those with a bad answer.
-	Leafs, BadLeafs uint32
-}
+// on one route.
+type VersionEvidence = rollout.Evidence
+
+// RolloutProgress is what a daemon tells about an order of a roll-out.
+type RolloutProgress = rollout.Progress
 
 // LeafCapacity is what a daemon has learned about how much a leaf takes.
 type LeafCapacity struct {
@@ -56,7 +57,7 @@
 
 // empty reports whether there is nothing to tell.
 func (x Sections) empty() bool {
-	return len(x.Quota) == 0 && len(x.Rollouts) == 0 && len(x.Capacity) == 0
+	return len(x.Quota) == 0 && len(x.QuotaLoans) == 0 && len(x.Rollouts) == 0 && len(x.Progress) == 0 && len(x.Capacity) == 0
 }
 
 // receivedSections are the sections of another daemon and the message that brought them.
@@ -81,6 +82,8 @@
 		return
 	}
 	d.sections = receivedSections{e.Sections, sender.Incarnation, sender.Counter, s.now}
+	s.quotaReceived(sender, e.Sections)
+	s.mergeRollouts(d)
 }
 
 // currentSections calls use with the sections of each other daemon that have not lapsed, in
@@ -96,19 +99,27 @@
 
 // ownSections returns what this daemon tells the others.
 func (s *State) ownSections() Sections {
-	return Sections{}
+	evidence, progress := s.rolloutSections()
+	return Sections{Quota: s.ownDemands(), Rollouts: evidence, Progress: progress}
 }
 
-// withActiveDaemons adds the addresses of the active daemons to those that get a message, if
-// it has sections: sections are not passed on, and the active daemons share limits by them.
-func (s *State) withActiveDaemons(to []string, sections Sections) []string {
+// directTargets returns the addresses of the daemons that get this daemon's sections beside
+// those that a message goes to anyway: sections are not passed on. The active daemons share
+// limits by them, and the holders of quotas lend by them.
+func (s *State) directTargets(to []string, sections Sections) []string {
 	if sections.empty() || !s.largeFleet() {
-		return to
+		return nil
 	}
+	var holders []string
+	if len(sections.Quota) > 0 {
+		holders = s.quotaHolders()
+	}
+	var out []string
 	for _, name := range s.daemonNames() {
-		if d := s.daemons[name]; d.active && !slices.Contains(to, d.PeerAddress) {
-			to = append(to, d.PeerAddress)
+		d := s.daemons[name]
+		if (d.active || slices.Contains(holders, name)) && !slices.Contains(to, d.PeerAddress) {
+			out = append(out, d.PeerAddress)
 		}
 	}
-	return to
+	return out
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -34,7 +34,6 @@
 	onLimits      func(gateway.Limits)
 	onPanic       func(where string, err error)
 	lag           func() time.Duration
-	leafFields    []string
 	onRefusal     func(client, reason string)
 	onInvalid     func(service, server string, err error)
 }
@@ -64,6 +63,8 @@
 	RegisterAgain()
 	// RemoveDaemon deletes the entry of a daemon.
 	RemoveDaemon(name string)
+	// WriteVerdict writes the verdict on an order and then posts gateway.VerdictWritten.
+	WriteVerdict(e gateway.WriteVerdict)
 }
 
 // Config holds the parameters of a Runtime.
@@ -110,9 +111,6 @@
 		calls:         map[gateway.CallID]*leafconn.Exchange{},
 		scheduledWake: model.Never, onRefusal: c.OnRefusal, onInvalid: c.OnInvalidAnswer,
 	}
-	if c.Protocol != nil {
-		r.leafFields = leafFields(c.Protocol)
-	}
 	r.timer = time.AfterFunc(time.Hour, func() { r.Post(gateway.Tick{}) })
 	return r
 }
@@ -172,6 +170,8 @@
 		r.store.RegisterAgain()
 	case gateway.RemoveDaemon:
 		r.store.RemoveDaemon(e.Name)
+	case gateway.WriteVerdict:
+		r.store.WriteVerdict(e)
 	case gateway.Log:
 		r.log(e)
 	}
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -78,7 +78,7 @@
 func TestGossipRoundTrip(t *testing.T) {
 	want := []gateway.DaemonEntry{
 		{Name: "a", Incarnation: 1, Counter: 2, CallerAddress: "1.1.1.1:1", PeerAddress: "1.1.1.1:2", FailureDomain: "d",
-			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
+			State: gateway.DaemonReady, ConfigVersion: 3, View: gateway.ViewRevisions{Servers: 4, Evacuations: 3, Rollouts: 7}, StoreDown: true, Cores: 0.25, CallsPerSecond: 5},
 		{Name: "b", State: gateway.DaemonLeaving}, {Name: "c", State: gateway.DaemonStarting},
 	}
 	data, err := encodeGossip(want, gateway.Sections{})
@@ -97,6 +97,9 @@
 	f.Add(`{"kinds":{"servers":{"revision":9,"changed":9,"objects":{"i-2":{"name":"i-2","revision":9,"value":{}}},"deleted":{"i-3":8},"since":4}}}`)
 	f.Add(`{"kinds":{"servers":{"revision":9,"objects":null,"deleted":null}},"afterOutage":true}`)
 	f.Add(`{"kinds":{"config":{"revision":18446744073709551615,"objects":{"main":{"name":"main","value":{"version":7}}}}}}`)
+	f.Add(`{"kinds":{"servers":{"revision":2,"era":5,"objects":{"i-1":{"name":"i-1","revision":2,"era":5,"value":{"Sequence":3}}},"deleted":{}}},"era":5}`)
+	f.Add(`{"kinds":{"evacuations":{"revision":2,"era":5}},"era":5,"retained":{"servers":{"i-1":{"object":{"name":"i-1","era":4,"value":{"Sequence":9}},"gone":true}},"evacuations":{"a":{"object":{"name":"a","era":4},"sinceMs":-1}}}}`)
+	f.Add(`{"retained":{"servers":{"":{"object":{"name":"","value":null}}},"config":{"main":{"object":{"name":"x"}}},"daemons":{"d":{}}}}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		var view View
 		if json.Unmarshal([]byte(text), &view) != nil {
@@ -106,21 +109,21 @@
 			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {},
 			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 		})
-		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, 5), sourceStore, false)
-		have := follower.Revisions()
+		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, Position{Revision: 5}), sourceStore, false)
+		have := follower.Positions()
 		follower.Adopt(view, have)
 		known := follower.View(nil).Kinds[KindServers]
 		remote, inView := view.Kinds[KindServers]
 		_, deleted := remote.Deleted["i-1"]
-		replaced := inView && remote.Revision > have[KindServers] && (remote.Since == 0 || remote.Since > have[KindServers])
+		replaced := inView && remote.position().compare(have[KindServers]) > 0 && (remote.Era != have[KindServers].Era || remote.Since == 0 || remote.Since > have[KindServers].Revision)
 		if _, ok := known.Objects["i-1"]; !ok && !deleted && !replaced {
 			t.Fatalf("i-1 is lost; view %+v", view)
 		}
-		if known.Revision < have[KindServers] {
+		if known.position().compare(have[KindServers]) < 0 {
 			t.Fatalf("revision went back to %d", known.Revision)
 		}
 		// What was adopted can be sent to other daemons.
-		if _, err := json.Marshal(follower.View(map[Kind]uint64{KindServers: math.MaxUint64})); err != nil {
+		if _, err := json.Marshal(follower.View(map[Kind]Position{KindServers: {Revision: math.MaxUint64}})); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -129,6 +132,9 @@
 // anyDecoder accepts every value.
 type anyDecoder struct{}
 
+// HideKeys implements Decoder.
+func (anyDecoder) HideKeys(v json.RawMessage, _ bool) (json.RawMessage, error) { return v, nil }
+
 // Config implements Decoder.
 func (anyDecoder) Config(json.RawMessage) (*gateway.Config, error) { return &gateway.Config{}, nil }
 
@@ -137,6 +143,11 @@
 	return gateway.Server{ID: name, Service: "s", Slots: 1}, nil
 }
 
+// Rollout implements Decoder.
+func (anyDecoder) Rollout(o Object) (gateway.RolloutOrder, error) {
+	return gateway.RolloutOrder{Service: o.Name, Target: "v2", Duration: time.Second}, nil
+}
+
 // wholeRequest returns what net/http sends for a request to a leaf.
 func wholeRequest(req *http.Request, header, values http.Header, body []byte) (string, error) {
 	r := &http.Request{
--- a/pkg/edge/leafrequest.go
+++ b/pkg/edge/leafrequest.go
@@ -9,11 +9,14 @@
 	"net/url"
 	"slices"
 	"strings"
+	"sync"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 )
 
 // leafRequest is a request as leafs get it. It is encoded once; only the values of the
-// fields that Protocol.ToLeaf sets differ between attempts. A caller's header may have
+// fields that Protocol.ToLeaf and SetTenant set differ between attempts. A caller's header may have
 // thousands of fields and a query hundreds of attempts, so that a map for each attempt
 // would take many times the bytes of the request.
 type leafRequest struct {
@@ -27,12 +30,67 @@
 	err error
 }
 
-// leafFields returns the names of the fields that a protocol sets for each attempt, in the
-// order in which net/http writes them.
-func leafFields(p Protocol) []string {
-	h := http.Header{}
-	p.ToLeaf(h, time.Second, "leaf")
-	return slices.Sorted(maps.Keys(h))
+// requestForm is a form in which a request is sent. It depends on the configuration in force
+// when an attempt begins.
+type requestForm uint8
+
+const (
+	// formPlain has the caller's fields: the configuration has no tenants.
+	formPlain requestForm = iota
+	// formWithoutTenant has neither a key nor the name of a tenant.
+	formWithoutTenant
+	// formWithTenant has the name of the key's tenant in place of the key.
+	formWithTenant
+	requestForms
+)
+
+func formOf(identity tenant.Identity) requestForm {
+	switch {
+	case !identity.Checked:
+		return formPlain
+	case identity.Name() == "":
+		return formWithoutTenant
+	}
+	return formWithTenant
+}
+
+// leafRequests holds a caller's request in the forms in which it is sent to leafs. Each is
+// encoded when the first attempt needs it. It is safe for concurrent use.
+type leafRequests struct {
+	protocol Protocol
+	request  *http.Request
+	body     []byte
+
+	mu sync.Mutex
+	// header is the part of the caller's header that leafs get; nil before the first form.
+	header http.Header
+	forms  [requestForms]*leafRequest
+}
+
+// form returns the request in a form.
+func (l *leafRequests) form(f requestForm) *leafRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.forms[f] != nil {
+		return l.forms[f]
+	}
+	if l.header == nil {
+		l.header = forwardedHeader(l.request.Header)
+	}
+	fields := http.Header{}
+	l.protocol.ToLeaf(fields, time.Second, "leaf")
+	header := l.header
+	if f != formPlain {
+		header = maps.Clone(header)
+		name := ""
+		if f == formWithTenant {
+			name = "tenant"
+			l.protocol.SetTenant(fields, name)
+		}
+		l.protocol.SetTenant(header, name)
+	}
+	l.forms[f] = newLeafRequest(l.request, header, slices.Sorted(maps.Keys(fields)), l.body)
+	return l.forms[f]
 }
 
 // newLeafRequest encodes a request with a header of its own, which it changes.
--- a/pkg/edge/pending.go
+++ b/pkg/edge/pending.go
@@ -38,10 +38,10 @@
 	maxUnread time.Duration
 	requestID string
 	request   *http.Request
-	// leafRequest is what leafs get; its parts are shared by all attempts.
-	leafRequest *leafRequest
-	answers     map[gateway.CallID]*keptAnswer
-	replyCh     chan reply
+	// leafRequests is what leafs get, shared by all attempts.
+	leafRequests *leafRequests
+	answers      map[gateway.CallID]*keptAnswer
+	replyCh      chan reply
 	// finished means that no answers of leafs are needed any more: the final answer was
 	// written or the caller is gone.
 	finished bool
--- a/pkg/edge/serve.go
+++ b/pkg/edge/serve.go
@@ -28,10 +28,10 @@
 		return
 	}
 	defer r.budget.Return(held)
-	forwarded := newLeafRequest(req, forwardedHeader(req.Header), r.leafFields, body)
 	p := &pendingRequest{
-		readAt: readAt, maxUnread: maxUnread, requestID: id, request: req, leafRequest: forwarded,
-		answers: map[gateway.CallID]*keptAnswer{}, replyCh: make(chan reply, 1),
+		readAt: readAt, maxUnread: maxUnread, requestID: id, request: req,
+		leafRequests: &leafRequests{protocol: r.protocol, request: req, body: body},
+		answers:      map[gateway.CallID]*keptAnswer{}, replyCh: make(chan reply, 1),
 	}
 	query := r.submitQuery(p, wait)
 	defer r.releaseAnswers(p)
@@ -53,6 +53,7 @@
 	r.pending[r.lastQuery] = p
 	r.postLocked(gateway.RequestArrived{
 		At: p.readAt, MaxUnread: p.maxUnread, Query: r.lastQuery, RequestID: p.requestID, Host: p.request.Host, Path: p.request.RequestURI, CallerTimeout: wait,
+		Credential: r.protocol.Credential(p.request.Header),
 	})
 	return r.lastQuery
 }
@@ -150,18 +151,29 @@
 }
 
 func writeRefusal(w http.ResponseWriter, e *gateway.Refuse) {
-	status := http.StatusServiceUnavailable
-	switch e.Reason {
-	case gateway.RefusalNoRoute:
-		status = http.StatusNotFound
-	case gateway.RefusalFailed:
-		status = http.StatusBadGateway
-	case gateway.RefusalDeadline:
-		status = http.StatusGatewayTimeout
+	if e.Reason == gateway.RefusalUnauthorized {
+		w.Header().Set("WWW-Authenticate", "ApiKey")
 	}
-	if e.Reason.NotRun() {
+	if e.Reason.NotRun() && e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	writeBody(w, status, []byte(e.Reason.String()+"\n"))
+	writeBody(w, refusalStatus(e.Reason), []byte(e.Reason.String()+"\n"))
+}
+
+// refusalStatus returns the status of the answer to a refused request.
+func refusalStatus(reason gateway.Refusal) int {
+	switch reason {
+	case gateway.RefusalUnauthorized:
+		return http.StatusUnauthorized
+	case gateway.RefusalQuota:
+		return http.StatusTooManyRequests
+	case gateway.RefusalNoRoute:
+		return http.StatusNotFound
+	case gateway.RefusalFailed:
+		return http.StatusBadGateway
+	case gateway.RefusalDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
 }
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 	"github.com/pistachiousher/pistachiousher/pkg/inbound"
 	"github.com/pistachiousher/pistachiousher/pkg/leafconn"
@@ -82,6 +83,7 @@
 	runtime      *edge.Runtime
 	follower     *edge.Follower
 	peers        *edge.Peers
+	explainer    *edge.Explainer
 	pool         *leafconn.Pool
 	budget       *leafconn.Budget
 	log          *logwriter.Writer
@@ -144,8 +146,10 @@
 	self := d.self
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	core := gateway.New(gateway.Options{
-		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
+		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: s.Retry.Window,
+		Quota:      quota.Bounds{Window: s.Quota.Window, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
 		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
+		Rollout: s.rolloutLimits(),
 	})
 	d.registry = prometheus.NewRegistry()
 	m := NewMetrics(d.registry)
@@ -165,6 +169,7 @@
 		OnInvalidAnswer: d.refusals.invalidAnswer,
 		OnRefusal:       func(client, reason string) { d.refusals.refused("caller", client, reason) },
 	})
+	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
 		OnInvalid: d.logInvalidObject, Rank: d.runtime.StoreRank,
@@ -222,7 +227,7 @@
 // addFollower adds the actors that follow the store and keep this daemon
 // registered in it.
 func (d *daemon) addFollower(ctx context.Context, cancel context.CancelFunc, g *run.Group) {
-	for _, kind := range edge.Kinds {
+	for _, kind := range d.settings.followedKinds() {
 		g.Add(func() error { return d.follower.Follow(ctx, kind) }, func(error) { cancel() })
 	}
 	g.Add(func() error {
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -12,11 +12,11 @@
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 )
 
-// maxLabelValues bounds the number of routes, and of services, that get a series of
-// their own: each series takes memory, and configurations add new names all day.
+// maxLabelValues bounds the number of routes, of services and of tenants that get a series
+// of their own: each series takes memory, and configurations add new names all day.
 const maxLabelValues = 64
 
-// otherLabel is the label value for all routes or services beyond maxLabelValues.
+// otherLabel is the label value for all routes, services or tenants beyond maxLabelValues.
 const otherLabel = "other"
 
 // labelValues holds the first maxLabelValues values of a label.
@@ -56,14 +56,17 @@
 	latency       *prometheus.HistogramVec
 	missingShards *prometheus.CounterVec
 	extraAttempts *prometheus.CounterVec
+	tenants       *prometheus.CounterVec
 	calls         *prometheus.CounterVec
 	callTime      *prometheus.HistogramVec
 	storeCalls    *prometheus.CounterVec
 	connsOpened   prometheus.Counter
+	explanations  prometheus.Counter
 	refused       *prometheus.CounterVec
 	invalid       *prometheus.CounterVec
 	services      labelValues
 	routes        labelValues
+	tenantNames   labelValues
 }
 
 // NewMetrics registers the collectors of a daemon.
@@ -83,6 +86,7 @@
 		latency:       histogram("request_seconds", "Time from a request to its final answer.", "route", requestBuckets),
 		missingShards: counter("missing_shards_total", "Shards that answers lack.", "route"),
 		extraAttempts: counter("extra_attempts_total", "Attempts beyond the first, and those that the budget denied.", "route", "kind"),
+		tenants:       counter("tenant_requests_total", "Requests of callers with the key of a tenant, by tenant and outcome.", "tenant", "outcome"),
 		calls:         counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
 		callTime:      histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
 		refused:       counter("clients_refused_total", "Requests outside the limits that were refused, and connections that were closed for them, by listener and reason.", "listener", "reason"),
@@ -91,11 +95,16 @@
 	}
 	m.connsOpened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
 	r.MustRegister(m.connsOpened)
+	m.explanations = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_explanations_total", Help: "Requests that were explained and not sent."})
+	r.MustRegister(m.explanations)
 	return m
 }
 
 // countRequest counts a request that has ended.
 func (m *Metrics) countRequest(q *gateway.QueryReport) {
+	if q.Tenant != "" {
+		m.tenants.WithLabelValues(m.tenantNames.valueOrOther(q.Tenant), q.Outcome).Inc()
+	}
 	if q.Route == "" {
 		m.requests.WithLabelValues("", q.Outcome).Inc()
 		return
@@ -185,6 +194,8 @@
 	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return toFloat(s.Ready) })
 	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return toFloat(s.Watcher) })
 	gauge("store_down", "1 if calls to the store fail.", func(s gateway.Status) float64 { return toFloat(s.StoreDown) })
+	gauge("store_era", "Era of the store; 0 if it names none. It rises when the store comes back from a copy.", func(s gateway.Status) float64 { return float64(s.StoreEra) })
+	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
 	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
 	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
 	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
@@ -195,6 +206,12 @@
 	gauge("least_budget", "Least retry budget of all services, in attempts.", func(s gateway.Status) float64 { return s.LeastTokens })
 	gauge("throttle", "Greatest probability of all routes with which a request is refused at its arrival because leafs are overloaded.", func(s gateway.Status) float64 { return s.Throttle })
 	gauge("share", "This daemon's part of what all daemons together may do.", func(s gateway.Status) float64 { return s.Share })
+	gauge("tenants", "Tenants in the configuration in force.", func(s gateway.Status) float64 { return float64(s.Tenants) })
+	gauge("quota_holders", "Daemons that hold shares of the quotas of tenants.", func(s gateway.Status) float64 { return float64(s.QuotaHolders) })
+	gauge("quota_holder", "1 if this daemon holds a share of the quotas of tenants.", func(s gateway.Status) float64 { return toFloat(s.QuotaHolder) })
+	gauge("running_rollouts", "Orders of roll-outs without a verdict.", func(s gateway.Status) float64 { return float64(s.RunningRollouts) })
+	gauge("excluded_leafs", "Leafs that get no requests, or only sampled ones, because of their version.", func(s gateway.Status) float64 { return float64(s.ExcludedLeafs) })
+	gauge("exposed_attempts", "Attempts since the start at leafs of versions whose roll-out had no verdict.", func(s gateway.Status) float64 { return float64(s.ExposedAttempts) })
 	r.MustRegister(prometheus.NewCounterFunc(
 		prometheus.CounterOpts{Name: "pistachiousher_edge_log_lines_dropped_total", Help: "Log lines dropped because the output was slow."},
 		func() float64 { return float64(dropped()) },
