--- a/pkg/edge/era_test.go
+++ b/pkg/edge/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -180,3 +181,18 @@
 	}
 	return json.RawMessage(fmt.Sprintf(`{"Version":%d}`, c.Version)), nil
 }
+
+// Guards against a verdict with a revision of an earlier era that is sent because the daemon
+// knows of the new one only from another daemon.
+func TestVerdictOfAnEarlierEraIsNotSent(t *testing.T) {
+	s := newFakeStore()
+	f := newRecordingFollower(s)
+	f.Adopt(View{Era: 5}, nil)
+	for era, want := range map[uint64]int{4: 0, 5: 1} {
+		s.verdicts = 0
+		err := f.writeVerdict(t.Context(), gateway.WriteVerdict{Service: "x", Era: era, Revision: 7})
+		if errors.Is(err, ErrEraChanged) != (want == 0) || s.verdicts != want {
+			t.Errorf("era %d: %d sent, %v; want %d", era, s.verdicts, err, want)
+		}
+	}
+}
--- a/pkg/edge/retained.go
+++ b/pkg/edge/retained.go
@@ -293,6 +293,13 @@
 	}
 }
 
+// latestEra returns the latest era that this daemon knows from the store or other daemons.
+func (f *Follower) latestEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // postAdvanced tells the reducer of the revisions of a kind's state. With eras it tells of
 // all kinds at once, when all are known in the same era: another daemon that fetches them
 // for that reason gets all.
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -34,6 +34,7 @@
 		defer cancel()
 		done := gateway.VerdictWritten{Write: e}
 		err := catchPanic(func() error { return f.writeVerdict(ctx, e) })
+		f.observeEra(f.store.Era(), true)
 		switch {
 		case err == nil:
 		case errors.Is(err, ErrConflict), errors.Is(err, errVerdictKnown):
@@ -57,6 +58,9 @@
 		}
 		at = Position{Era: order.Era, Revision: order.Revision}
 	}
+	if known := f.latestEra(); at.Era < known {
+		return fmt.Errorf("%w: verdict on %s: read in era %d, now %d: not sent", ErrEraChanged, e.Service, at.Era, known)
+	}
 	return f.store.WriteVerdict(ctx, e.Service, at, e.Target, e.Verdict)
 }
 
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -35,6 +35,8 @@
 	old         []Object
 	oldRevision uint64
 	era         uint64
+	// verdicts counts the calls of WriteVerdict.
+	verdicts int
 }
 
 // Era implements Store.
@@ -133,6 +135,9 @@
 
 // WriteVerdict implements Store.
 func (s *fakeStore) WriteVerdict(context.Context, string, Position, string, rollout.Verdict) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verdicts++
 	return nil
 }
 
