--- a/pkg/core/gateway/explainleafs.go
+++ b/pkg/core/gateway/explainleafs.go
@@ -51,7 +51,7 @@
 		x := LeafExplanation{
 			LeafStatus: status[srv.ID], Cost: s.attemptCost(srv, typical), availability: s.availability(srv, r),
 			Chosen:     slices.Contains(attempts, PlannedAttempt{Service: svc.name, Leaf: srv.ID}),
-			ExpectedMS: milliseconds(typical) * srv.expectedRatio(load), WaitMS: milliseconds(typical) * (srv.expectedRatio(load) - srv.expectedRatio(0)),
+			ExpectedMS: milliseconds(typical) * s.expectedRatio(srv, load), WaitMS: milliseconds(typical) * (s.expectedRatio(srv, load) - s.expectedRatio(srv, 0)),
 			LoadAgeMS: s.ageMS(srv.othersLoadAt), AnswerAgeMS: s.ageMS(srv.lastAnswerAt),
 		}
 		if !x.Chosen {
@@ -84,7 +84,7 @@
 		return "connections to it failed; the next one is tried later"
 	case !s.hasColdToken(srv):
 		return "it is cold and has got this daemon's share of requests"
-	case len(srv.inflight) >= s.maxConnections(srv.svc):
+	case len(srv.inflight) >= s.maxConnectionsTo(srv):
 		return "this daemon's share of its connections is in use"
 	}
 	return "it takes no more requests now"
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -63,6 +63,7 @@
 	connsOpened   prometheus.Counter
 	explanations  prometheus.Counter
 	refused       *prometheus.CounterVec
+	invalid       *prometheus.CounterVec
 	services      labelValues
 	routes        labelValues
 	tenantNames   labelValues
@@ -89,6 +90,7 @@
 		calls:         counter("calls_total", "Attempts at leafs by service and outcome.", "service", "outcome"),
 		callTime:      histogram("call_seconds", "Time of attempts at leafs.", "service", callBuckets),
 		refused:       counter("clients_refused_total", "Requests outside the limits that were refused, and connections that were closed for them, by listener and reason.", "listener", "reason"),
+		invalid:       counter("invalid_answers_total", "Attempts at leafs that got bytes which are no answer in HTTP/1.", "service"),
 		storeCalls:    counter("store_calls_total", "Calls to the store.", "kind", "operation", "outcome"),
 	}
 	m.connsOpened = prometheus.NewCounter(prometheus.CounterOpts{Name: "pistachiousher_edge_connections_opened_total", Help: "New connections to leafs."})
@@ -125,6 +127,11 @@
 	}
 }
 
+// countInvalid counts an attempt at a leaf of the service that got an invalid answer.
+func (m *Metrics) countInvalid(service string) {
+	m.invalid.WithLabelValues(m.services.valueOrOther(service)).Inc()
+}
+
 // StoreCall counts a call to the store.
 func (m *Metrics) StoreCall(kind edge.Kind, operation, outcome string) {
 	m.storeCalls.WithLabelValues(string(kind), operation, outcome).Inc()
@@ -191,6 +198,8 @@
 	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
 	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
 	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
+	gauge("learned_leafs", "Leafs that report how fast their VM is and whose capacity is learned.", func(s gateway.Status) float64 { return float64(s.LearnedLeafs) })
+	gauge("ignored_report_leafs", "Leafs whose reports of their VM's speed are ignored because their latency does not show it.", func(s gateway.Status) float64 { return float64(s.IgnoredReports) })
 	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
 	gauge("daemons", "Daemons that are heard and reach the store, this one included.", func(s gateway.Status) float64 { return float64(s.Daemons) })
 	gauge("open_requests", "Requests without a final answer.", func(s gateway.Status) float64 { return float64(s.OpenRequests) })
