--- a/pkg/edged/tenants_test.go
+++ b/pkg/edged/tenants_test.go
@@ -188,3 +188,44 @@
 		t.Errorf("after %v s: %+v", seconds, a)
 	}
 }
+
+// Guards against daemons that do not lend each other what only one of them needs, and against
+// more requests in a window than the limit allows.
+func TestDaemonsLendQuota(t *testing.T) {
+	const (
+		window    = 5 * time.Second
+		allowance = 7
+	)
+	s := newSite(t)
+	leaf := s.leaf("i-1", "one", standin.Behavior{Body: []byte("body")})
+	s.configureTenants([]standin.Tenant{{Name: "a", Keys: []string{"k"}, RatePerSecond: 1, Burst: 2}}, route("/one/", "one"))
+	d, other := s.daemon(1), s.daemon(2)
+	eventually(t, startTimeout, "ready", func() bool { return d.ready() && other.ready() })
+	eventually(t, startTimeout, "both know each other", func() bool { return len(d.addresses()) == 2 && len(other.addresses()) == 2 })
+	// inWindow is the number of requests that ran in the latest window.
+	inWindow := func() int {
+		n := 0
+		for _, r := range leaf.Ran() {
+			if time.Since(r.At) < window {
+				n++
+			}
+		}
+		return n
+	}
+	// Both daemons together hold seven requests, so that neither holds more than four.
+	eventually(t, 4*window, "more runs than one daemon holds", func() bool {
+		d.requestWithKey("/one/x", "k")
+		return inWindow() > (allowance+1)/2
+	})
+	for range 20 {
+		d.requestWithKey("/one/x", "k")
+		other.requestWithKey("/one/x", "k")
+	}
+	ran := leaf.Ran()
+	for i := allowance; i < len(ran); i++ {
+		if ran[i].At.Sub(ran[i-allowance].At) < window {
+			t.Errorf("more than %d requests ran in a window", allowance)
+			break
+		}
+	}
+}
