edge: the target of a request is forwarded unchanged

A path with two slashes at its start reached leafs in absolute form, as net/http writes an opaque URL that begins so (review/5, UNASKED: broken in 6 of 6 runs before, held in 2 of 2 now).

--- a/pkg/edge/leafforms_test.go
+++ b/pkg/edge/leafforms_test.go
@@ -66,3 +66,22 @@
 		}
 	}
 }
+
+// Guards against a path that leafs get in another form than the caller sent it: net/http
+// writes "//a/x" as "http://a/x".
+func TestTargetIsForwardedUnchanged(t *testing.T) {
+	for _, target := range []string{"/", "/a/x?q=//1", "//a/x", "///a//x", "//", "*", "/a%2fx//"} {
+		for _, body := range []string{"", "body"} {
+			req := &http.Request{Method: "POST", RequestURI: target, Host: "h.example"}
+			l := newLeafRequest(req, http.Header{"X-Other": {"kept"}}, []string{"X-Server"}, []byte(body))
+			var b bytes.Buffer
+			if err := l.write(&b, http.Header{"X-Server": {"i-1"}}); err != nil {
+				t.Fatal(err)
+			}
+			got := b.String()
+			if !strings.HasPrefix(got, "POST "+target+" HTTP/1.1\r\nHost: h.example\r\n") || !strings.HasSuffix(got, "\r\n\r\n"+body) || !strings.Contains(got, "X-Server: i-1\r\n") {
+				t.Errorf("%q with body %q: %q", target, body, got)
+			}
+		}
+	}
+}
--- a/pkg/edge/leafrequest.go
+++ b/pkg/edge/leafrequest.go
@@ -99,9 +99,11 @@
 	for _, name := range fields {
 		header[name] = []string{""}
 	}
+	// net/http writes a target that begins with two slashes in absolute form.
+	slashes := max(0, len(req.RequestURI)-len(strings.TrimLeft(req.RequestURI, "/"))-1)
 	r := &http.Request{
 		Method: req.Method,
-		URL:    &url.URL{Scheme: "http", Host: req.Host, Opaque: req.RequestURI},
+		URL:    &url.URL{Scheme: "http", Host: req.Host, Opaque: req.RequestURI[slashes:]},
 		Host:   req.Host,
 		Header: header,
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -117,7 +119,11 @@
 		return l
 	}
 	head := encoded.Bytes()[:encoded.Len()-len(body)]
-	if len(body) > 0 {
+	switch {
+	case slashes > 0:
+		target := len(req.Method) + 1
+		head = slices.Concat(head[:target], []byte(req.RequestURI[:slashes]), head[target:])
+	case len(body) > 0:
 		head = bytes.Clone(head)
 	}
 	for _, name := range fields {
