--- a/pkg/core/gateway/rollout/exposure.go
+++ b/pkg/core/gateway/rollout/exposure.go
@@ -29,7 +29,7 @@
 	maxSampledLeafs = 3
 	// sampleDuty is how much longer in each period is sampled than the share alone allows,
 	// so that the slack is used too.
-	sampleDuty = 1.5
+	sampleDuty = 2.2
 	// minRouteAnswers is the number of answers on a route below which its requests are also
 	// sampled outside of the part of the period in which others are.
 	minRouteAnswers = 12
