--- a/pkg/core/gateway/storeevent.go
+++ b/pkg/core/gateway/storeevent.go
@@ -42,6 +42,8 @@
 	Fetch FetchView
 	// OK means that the view was received and applied.
 	OK bool
+	// Capacities are what the other daemon has learned about leafs, if they were asked for.
+	Capacities []LeafCapacity
 }
 
 // DaemonsListed is the full list of daemons in the store.
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"maps"
+
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
 // KindState is the latest known state of a kind.
@@ -33,6 +35,8 @@
 	// Confirmed are the kinds that a call to the store has confirmed since the daemon
 	// started.
 	Confirmed []Kind `json:"confirmed,omitempty"`
+	// Capacities are what the daemon has learned about leafs, if they were asked for.
+	Capacities []gateway.LeafCapacity `json:"capacities,omitempty"`
 	// Era is the latest era of the store that the daemon knows; 0 if the store names none.
 	Era uint64 `json:"era,omitempty"`
 	// Retained are the objects that prevail over what the store shows, if they were asked
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -166,7 +166,8 @@
 			d.callerConns.SetIdleLimit(l.IdleTimeout)
 			d.setHeaderLimit(l.MaxHeaderBytes)
 		},
-		OnRefusal: func(client, reason string) { d.refusals.refused("caller", client, reason) },
+		OnInvalidAnswer: d.refusals.invalidAnswer,
+		OnRefusal:       func(client, reason string) { d.refusals.refused("caller", client, reason) },
 	})
 	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
@@ -176,6 +177,10 @@
 	registerStatus(d.registry, d.status, d.log.Dropped)
 	registerLoad(d.registry, d.budget.Used, d.headBudget.Used, lagProbe.Lag)
 	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.logPeerFailure)
+	d.peers.ShareCapacities(func() (out []gateway.LeafCapacity) {
+		d.runtime.Inspect(func(s *gateway.State) { out = s.LeafCapacities() })
+		return out
+	})
 	registerTraffic(d.registry, d.peers.Traffic())
 	d.runtime.Link(d.peers, d.follower)
 	d.callerServer = &http.Server{
