--- a/pkg/cli/edge_explain.go
+++ b/pkg/cli/edge_explain.go
@@ -329,5 +329,8 @@
 		}
 		fmt.Fprintf(out, "  %s %s in %s, version %s: cost %.2f, expected %.1f ms (%.1f of waiting), load %.1f, failures %.2f, cold %d ms; %s\n",
 			l.ID, l.Address, l.FailureDomain, l.Version, l.Cost, l.ExpectedMS, l.WaitMS, l.Load, l.FailureRate, l.ColdMS, verdict)
+		if c := l.Learned; c != nil {
+			fmt.Fprintf(out, "    takes %.1f at once as learned, latency without load %.2f, work takes %.2f times as long now, reports ignored %v\n", c.Limit, c.BaseLatency, c.Slowdown, c.ReportsIgnored)
+		}
 	}
 }
--- a/pkg/core/gateway/explain_test.go
+++ b/pkg/core/gateway/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"testing"
@@ -48,6 +49,19 @@
 	m.step(t, Registered{First: true})
 }
 
+// reportLoads ends the open attempts with answers that report how fast the leafs' VMs are.
+func (m *stateMachine) reportLoads(t *rapid.T) {
+	for _, id := range slices.Sorted(maps.Keys(m.open)) {
+		if !m.begun[id] {
+			continue
+		}
+		delete(m.open, id)
+		m.outcomes[id] = OutcomeSucceeded
+		load := Load{Running: rapid.IntRange(0, 3).Draw(t, "running"), Slots: 2, Slowdown: rapid.SampledFrom([]float64{0, 1, 2.5}).Draw(t, "slowdown")}
+		m.step(t, CallDone{Call: id, Outcome: OutcomeSucceeded, HasLoad: true, Load: load})
+	}
+}
+
 func (m *stateMachine) startRollout(t *rapid.T) {
 	m.step(t, RolloutsListed{Orders: []RolloutOrder{{Service: "s0", Target: "v2", Duration: 10 * time.Second, Created: 5, Revision: 5}}})
 	m.step(t, ServerChanged{Server: Server{ID: "i0", Service: "s0", Address: "10.1.0.1:80", FailureDomain: "a", Slots: 2, Version: "v2"}})
@@ -79,6 +93,7 @@
 		if m.version > 0 {
 			t.Repeat(actions)
 		}
+		m.reportLoads(t)
 		if rapid.Bool().Draw(t, "tenants") {
 			m.configureTenants(t)
 		}
