Idle connections make room on the listeners for readiness, directory, admin and views

Connections beyond the limit waited to be accepted, so that 32 idle ones kept out the platform's readiness checks for 5 minutes (TestIdleConnectionsOnReadyListener failed before).

--- a/pkg/edged/listeners.go
+++ b/pkg/edged/listeners.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/oklog/run"
-	"golang.org/x/net/netutil"
 
 	"github.com/pistachiousher/pistachiousher/pkg/inbound"
 )
@@ -59,7 +58,7 @@
 
 // Limits of all listeners except the one for callers.
 const (
-	// Numbers of open connections; further ones wait to be accepted.
+	// Numbers of open connections; beyond them the one that was idle for longest is closed.
 	maxReadyConns = 32
 	maxAdminConns = 16
 	maxViewConns  = 256
@@ -78,7 +77,7 @@
 		Handler: http.MaxBytesHandler(h, maxRequestPartBytes), ReadTimeout: readWriteTimeout, WriteTimeout: readWriteTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxRequestPartBytes, ErrorLog: d.listenerLogger(name), ConnState: inbound.ConnState,
 	}
-	bounded := d.boundHeads(name, netutil.LimitListener(ln, maxConns), func() int { return maxRequestPartBytes + headSlack })
+	bounded := d.boundHeads(name, ln, maxConns, func() int { return maxRequestPartBytes + headSlack })
 	g.Add(func() error {
 		return fmt.Errorf("edged: %s listener: %w", name, s.Serve(bounded))
 	}, func(error) { s.Close() })
@@ -90,7 +89,7 @@
 	d.callerListener = ln
 	interrupted := make(chan struct{})
 	g.Add(func() error {
-		err := d.callerServer.Serve(d.boundHeads("caller", ln, d.maxCallerHead))
+		err := d.callerServer.Serve(d.boundHeads("caller", ln, 0, d.maxCallerHead))
 		if d.callerListenerClosed.Load() {
 			<-interrupted
 		}
--- a/pkg/edged/refusals.go
+++ b/pkg/edged/refusals.go
@@ -77,10 +77,11 @@
 // the request line, and here the bytes between them count as well. net/http adds as much.
 const headSlack = 4 << 10
 
-// boundHeads bounds the heads of requests on a listener.
-func (d *daemon) boundHeads(name string, ln net.Listener, maxHeadBytes func() int) net.Listener {
+// boundHeads bounds the heads of requests on a listener, and its connections unless
+// maxConns is 0.
+func (d *daemon) boundHeads(name string, ln net.Listener, maxConns int, maxHeadBytes func() int) net.Listener {
 	return inbound.Wrap(ln, inbound.Config{
-		Budget: d.headBudget, MaxHeadBytes: maxHeadBytes, HeadTimeout: headerTimeout, UnreadBytes: 2 * int64(d.settings.receiveBuffer()),
+		Budget: d.headBudget, MaxConns: maxConns, MaxHeadBytes: maxHeadBytes, HeadTimeout: headerTimeout, UnreadBytes: 2 * int64(d.settings.receiveBuffer()),
 		OnRefusal: func(client net.Addr, reason inbound.Reason) {
 			d.refusals.refused(name, client.String(), string(reason))
 		},
--- a/pkg/inbound/conn.go
+++ b/pkg/inbound/conn.go
@@ -13,17 +13,9 @@
 	"github.com/pistachiousher/pistachiousher/pkg/httpframe"
 )
 
-const (
-	// maxLeadingLineEnds is the number of CR and LF that are skipped before a head. RFC
-	// 9112 asks for at least one empty line; net/http skips two, after a POST.
-	maxLeadingLineEnds = 4
-	// refusalTime bounds the time in which a client reads a refusal before its connection
-	// is closed, as in net/http.
-	refusalTime = 500 * time.Millisecond
-	// maxDrained is the number of bytes that are read meanwhile and dropped: closing a
-	// connection with unread bytes would take the refusal back.
-	maxDrained = 256 << 10
-)
+// maxLeadingLineEnds is the number of CR and LF that are skipped before a head. RFC 9112
+// asks for at least one empty line; net/http skips two, after a POST.
+const maxLeadingLineEnds = 4
 
 // Conn is an accepted connection. Its reader, net/http, gets no byte of a head before the
 // whole head has arrived and its memory was reserved.
@@ -56,6 +48,8 @@
 	// reserved for what the kernel receives behind it.
 	open, unread, closed bool
 	deadline             time.Time
+	// lastUsed is when the connection was accepted or its last request was answered.
+	lastUsed time.Time
 }
 
 // Read implements net.Conn.
@@ -333,114 +327,6 @@
 	return err
 }
 
-// refuse answers with the refusal of the reason, if it has one, and ends the connection.
-// scratch is used as a buffer. It returns io.EOF, at which net/http closes the connection
-// without a word.
-func (c *Conn) refuse(reason Reason, scratch []byte) error {
-	c.refused = true
-	c.listener.config.OnRefusal(c.RemoteAddr(), reason)
-	text, ok := answers[reason]
-	if !ok {
-		c.Close()
-		return io.EOF
-	}
-	end := time.Now().Add(refusalTime)
-	// Errors mean that the client is gone.
-	_ = c.Conn.SetDeadline(end)
-	_, _ = io.WriteString(c.Conn, text)
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = w.CloseWrite()
-	}
-	for drained := 0; drained < maxDrained; {
-		n, err := c.Conn.Read(scratch)
-		if err != nil {
-			break
-		}
-		drained += n
-	}
-	return io.EOF
-}
-
-// answers are the refusals by reason; the connection of other reasons is closed.
-var answers = map[Reason]string{
-	HeadTooLarge: answer("431 Request Header Fields Too Large", ""),
-	EmptyLines:   answer("400 Bad Request", ""),
-	// The request was not passed on, so that it has not run and never will.
-	HeadMemory: answer("503 Service Unavailable", "Retry-After: 0.100\r\n"),
-}
-
-func answer(status, lines string) string {
-	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s\n", status, lines, len(status)+1, status)
-}
-
-func (c *Conn) isOpen() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
-
-// reserveRequest reserves n bytes until the request that opens now is answered.
-func (c *Conn) reserveRequest(n int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || !c.listener.config.Budget.reserve(n, c.requestBytes+c.bufferBytes) {
-		return false
-	}
-	c.requestBytes += n
-	c.open = true
-	return true
-}
-
-// reserveUnread reserves what the kernel holds for the connection until the open request
-// is answered.
-func (c *Conn) reserveUnread() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.unread {
-		return true
-	}
-	n := c.listener.config.UnreadBytes
-	if c.closed || !c.listener.config.Budget.reserve(n, c.requestBytes+c.bufferBytes) {
-		return false
-	}
-	c.requestBytes += n
-	c.unread = true
-	return true
-}
-
-// reserveBuffer changes the number of bytes that are reserved for the buffer.
-func (c *Conn) reserveBuffer(n int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	more := n - c.bufferBytes
-	if c.closed || more > 0 && !c.listener.config.Budget.reserve(more, c.requestBytes+c.bufferBytes) {
-		return false
-	}
-	if more < 0 {
-		c.listener.config.Budget.release(-more)
-	}
-	c.bufferBytes = n
-	return true
-}
-
-// requestDone releases the memory of a request that was answered.
-func (c *Conn) requestDone() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open, c.unread = false, false
-	c.listener.config.Budget.release(c.requestBytes)
-	c.requestBytes = 0
-}
-
-// Close implements net.Conn.
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	c.listener.config.Budget.release(c.requestBytes + c.bufferBytes)
-	c.requestBytes, c.bufferBytes, c.closed = 0, 0, true
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/pkg/inbound/conn_test.go
+++ b/pkg/inbound/conn_test.go
@@ -22,7 +22,7 @@
 	reasons []Reason
 }
 
-func startServer(t *testing.T, budget int64, handler http.HandlerFunc) *server {
+func startServer(t *testing.T, budget int64, handler http.HandlerFunc, maxConns ...int) *server {
 	t.Helper()
 	s := &server{Server: httptest.NewUnstartedServer(handler), budget: NewBudget(budget)}
 	s.Listener = Wrap(s.Listener, Config{
@@ -33,6 +33,9 @@
 			s.reasons = append(s.reasons, r)
 		},
 	})
+	if len(maxConns) > 0 {
+		s.Listener.(*Listener).config.MaxConns = maxConns[0]
+	}
 	s.Config.ConnState = ConnState
 	s.Start()
 	t.Cleanup(s.Close)
--- a/test/untrusted/crowd_test.go
+++ b/test/untrusted/crowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -207,6 +208,26 @@
 	d.crowd(2500, d.caller, func(net.Conn, int) { time.Sleep(work) })
 }
 
+// Guards against idle connections that keep out the platform's readiness checks and callers
+// that ask for addresses.
+func TestIdleConnectionsOnReadyListener(t *testing.T) {
+	d := startDaemon(t)
+	for range 100 {
+		c, err := net.Dial("tcp", d.ready)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET "+standin.ReadyPath+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: settleTime}
+	if !standin.Ready(client, d.ready) {
+		t.Error("no answer to a readiness check beside 100 idle connections")
+	}
+}
+
 // Guards against bytes that end the process on any of its listeners, the socket for
 // datagrams included.
 func TestOddBytesOnEachListener(t *testing.T) {
