Admission under overload by priority and fair shares of tenants

With tenants in the configuration the package admission decides who is refused while a service is overloaded; without, the throttle of routes decides as before. Queues are bounded per tenant, and extra attempts wait for first attempts of other tenants. The model plays tenants, and a fault in which one of them sends many times its usual.

--- a/cmd/measure/fleet.go
+++ b/cmd/measure/fleet.go
@@ -25,6 +25,7 @@
 	seeds   int
 	json    bool
 	rows    bool
+	tenants bool
 	against string
 }
 
@@ -33,7 +34,7 @@
 	return "play a model of daemons, callers and leafs under load"
 }
 func (*fleetCommand) Usage() string {
-	return "fleet -profile FILE [-seed S] [-seeds N] [-rows] [-json] [-against DIRECTORY]\n"
+	return "fleet -profile FILE [-seed S] [-seeds N] [-rows] [-json] [-tenants] [-against DIRECTORY]\n"
 }
 
 func (c *fleetCommand) SetFlags(f *flag.FlagSet) {
@@ -42,6 +43,7 @@
 	f.IntVar(&c.seeds, "seeds", 1, "number of runs, each with the next seed")
 	f.BoolVar(&c.rows, "rows", false, "print each run by interval and route")
 	f.BoolVar(&c.json, "json", false, "print the runs as JSON")
+	f.BoolVar(&c.tenants, "tenants", false, "print what each tenant got, summed over the runs")
 	f.StringVar(&c.against, "against", "", "compare with the code of the module in `directory`, which plays the same profile and seeds")
 }
 
@@ -72,6 +74,9 @@
 			}
 		}
 	}
+	if c.tenants {
+		return runs.WriteTenants(os.Stdout)
+	}
 	if c.against == "" {
 		return runs.WriteText(os.Stdout)
 	}
--- a/measure/fleet/caller.go
+++ b/measure/fleet/caller.go
@@ -23,6 +23,7 @@
 type request struct {
 	w        *world
 	route    *RouteProfile
+	sender   *sender
 	work     time.Duration
 	begun    model.Time
 	deadline model.Time
@@ -51,13 +52,18 @@
 	shards         float64
 }
 
-// arrive starts a request of a route and schedules the next one.
-func (w *world) arrive(r *RouteProfile) {
+// arrive starts a request of a tenant to a route and schedules the next one.
+func (w *world) arrive(r *RouteProfile, s *sender) {
 	if w.sinceStart(w.now) >= w.profile.Length {
 		return
 	}
+	if s.tenant != nil && !s.begun(r.Name) {
+		// The first request comes as late as any other.
+		w.after(w.exponential(r.PerSecond*s.share), func() { w.arrive(r, s) })
+		return
+	}
 	q := &request{
-		w: w, route: r, begun: w.now, deadline: w.now.Add(r.Timeout), repeats: w.profile.Callers.Repeats,
+		w: w, route: r, sender: s, begun: w.now, deadline: w.now.Add(r.Timeout), repeats: w.profile.Callers.Repeats,
 		work: time.Duration(float64(r.Work) * w.logNormal(r.Spread)),
 	}
 	lookUp := time.Duration(0)
@@ -66,7 +72,7 @@
 	}
 	w.at(q.deadline, func() { q.end(failed, 0) })
 	w.after(lookUp, q.try)
-	w.after(w.exponential(r.PerSecond*w.rate), func() { w.arrive(r) })
+	w.after(w.exponential(r.PerSecond*w.rate*s.share*s.times), func() { w.arrive(r, s) })
 }
 
 // try sends the request to a daemon that the directory names.
@@ -97,7 +103,7 @@
 		d.later(0, func() {
 			d.lastQuery++
 			d.requests[d.lastQuery] = t
-			d.step(gateway.RequestArrived{
+			d.step(gateway.RequestArrived{Credential: q.sender.credential(),
 				At: arrived, Query: d.lastQuery, RequestID: "q", Host: host, Path: "/" + q.route.Name + "/", CallerTimeout: q.deadline.Sub(w.now),
 			})
 		})
--- a/measure/fleet/faults.go
+++ b/measure/fleet/faults.go
@@ -16,6 +16,13 @@
 		case FaultBurst:
 			w.at(begin, func() { w.rate *= f.Times })
 			w.at(end, func() { w.rate /= f.Times })
+		case FaultFlood:
+			for _, x := range w.senders {
+				if x.name == f.Tenant {
+					w.at(begin, func() { x.times *= f.Times })
+					w.at(end, func() { x.times /= f.Times })
+				}
+			}
 		case FaultGiveUp:
 			w.at(begin, func() { w.giveUp = f.Share })
 			w.at(end, func() { w.giveUp = 0 })
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -45,6 +45,7 @@
 	leafs    map[string]*leaf
 	// rate multiplies the load, giveUp is the share of callers that leave early.
 	rate, giveUp float64
+	senders      []*sender
 	result       *Result
 }
 
@@ -88,7 +89,7 @@
 func Run(p *Profile, seed uint64) *Result {
 	w := &world{
 		profile: p, rand: rand.New(rand.NewPCG(seed, 1)), rate: 1, now: 1,
-		byPeer: map[string]*daemon{}, byCaller: map[string]*daemon{}, leafs: map[string]*leaf{}, result: newResult(p, seed),
+		byPeer: map[string]*daemon{}, byCaller: map[string]*daemon{}, leafs: map[string]*leaf{}, result: newResult(p, seed), senders: p.senders(),
 	}
 	w.addLeafs()
 	w.store.config = w.config(1, false)
@@ -101,7 +102,11 @@
 	}
 	w.scheduleFaults()
 	for i := range p.Routes {
-		w.at(model.Time(warmUpTime), func() { w.arrive(&p.Routes[i]) })
+		w.at(model.Time(warmUpTime), func() {
+			for _, s := range w.senders {
+				w.arrive(&p.Routes[i], s)
+			}
+		})
 	}
 	end := model.Time(warmUpTime + p.Length + drainTime)
 	for len(w.events) > 0 && w.events[0].at < end {
@@ -119,6 +124,11 @@
 // later service.
 func (w *world) config(version uint64, repartitioned bool) *gateway.Config {
 	c := &gateway.Config{Version: version, Services: map[string]gateway.ServiceConfig{}}
+	for _, s := range w.senders {
+		if s.tenant != nil {
+			c.Tenants = append(c.Tenants, s.tenant)
+		}
+	}
 	for _, s := range w.profile.Services {
 		for _, name := range shardNames(s) {
 			c.Services[name] = gateway.ServiceConfig{MaxConnections: s.Connections}
--- a/measure/fleet/profile.go
+++ b/measure/fleet/profile.go
@@ -24,6 +24,10 @@
 	Routes   []RouteProfile
 	Callers  CallerProfile
 	Faults   []Fault
+	// Tenants send the requests; without any, daemons ask for no keys.
+	Tenants []TenantProfile
+	// TenantsFrom and TenantsTo bound the time in which requests are counted by tenant.
+	TenantsFrom, TenantsTo time.Duration
 }
 
 // DaemonProfile describes the daemons, which are spread evenly over the failure domains.
@@ -92,6 +96,7 @@
 	FaultRestart     = "restart"      // all daemons end, and start after For
 	FaultStoreOutage = "store_outage" // the store does not answer
 	FaultGiveUp      = "give_up"      // Share of the callers leave early
+	FaultFlood       = "flood"        // Tenant sends Times as much
 )
 
 // Fault is one disturbance, from At for For.
@@ -100,6 +105,7 @@
 	At, For      time.Duration
 	Share, Ratio float64
 	Times        float64
+	Tenant       string
 }
 
 // Limits of a profile.
@@ -134,7 +140,7 @@
 }
 
 func readProfile(root yamldoc.Node) *Profile {
-	m := root.Map("length", "interval", "daemons", "services", "routes", "callers", "faults")
+	m := root.Map("length", "interval", "daemons", "services", "routes", "callers", "faults", "tenants", "tenants_from", "tenants_to")
 	d := m.Need("daemons").Map("count", "domains", "cores", "call_time", "start_time", "retry_ratio", "retry_slack")
 	c := m.Get("callers").Map("distance", "look_up_share", "repeats")
 	p := &Profile{
@@ -163,6 +169,9 @@
 	for _, n := range m.Need("routes").NonEmptyList() {
 		p.Routes = append(p.Routes, readRoute(n, names))
 	}
+	p.Tenants = readTenants(m.Get("tenants").List())
+	p.TenantsFrom = m.Get("tenants_from").Duration(0, 0, maxLength)
+	p.TenantsTo = m.Get("tenants_to").Duration(maxLength, 0, maxLength)
 	for _, n := range m.Get("faults").List() {
 		p.Faults = append(p.Faults, readFault(n))
 	}
@@ -212,11 +221,11 @@
 }
 
 func readFault(n yamldoc.Node) Fault {
-	m := n.Map("kind", "at", "for", "share", "ratio", "times")
+	m := n.Map("kind", "at", "for", "share", "ratio", "times", "tenant")
 	return Fault{
-		Kind: m.Need("kind").OneOf(FaultBurst, FaultBurst, FaultSlow, FaultDark, FaultFail, FaultLose, FaultRepartition, FaultRestart, FaultStoreOutage, FaultGiveUp),
+		Kind: m.Need("kind").OneOf(FaultBurst, FaultBurst, FaultSlow, FaultDark, FaultFail, FaultLose, FaultRepartition, FaultRestart, FaultStoreOutage, FaultGiveUp, FaultFlood),
 		At:   m.Need("at").Duration(0, 0, maxLength), For: m.Get("for").Duration(time.Second, 0, maxLength),
-		Share: m.Get("share").Float(0.2, 0, 1), Ratio: m.Get("ratio").Float(0.5, 0, 1), Times: m.Get("times").Float(1, 0, maxFactor),
+		Share: m.Get("share").Float(0.2, 0, 1), Ratio: m.Get("ratio").Float(0.5, 0, 1), Times: m.Get("times").Float(1, 0, maxFactor), Tenant: m.Get("tenant").Name(),
 	}
 }
 
--- a/measure/fleet/result.go
+++ b/measure/fleet/result.go
@@ -74,6 +74,8 @@
 	// Rows are ordered by interval, then in the order of the profile's routes.
 	Rows  []Row  `json:"rows"`
 	Total Counts `json:"total"`
+	// Tenants are the requests by tenant in the time that the profile names.
+	Tenants map[string]*Counts `json:"tenants,omitempty"`
 
 	profile *Profile
 }
@@ -110,6 +112,15 @@
 	for _, c := range []*Counts{&row.Counts, &r.Total} {
 		c.add(q.route, o, shards)
 	}
+	if at := q.w.sinceStart(q.begun); q.sender.tenant != nil && at >= r.profile.TenantsFrom && at < r.profile.TenantsTo {
+		if r.Tenants == nil {
+			r.Tenants = map[string]*Counts{}
+		}
+		if r.Tenants[q.sender.name] == nil {
+			r.Tenants[q.sender.name] = &Counts{}
+		}
+		r.Tenants[q.sender.name].add(q.route, o, shards)
+	}
 }
 
 func (c *Counts) add(route *RouteProfile, o outcome, shards float64) {
--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -84,12 +84,15 @@
 	return false
 }
 
-func (s *State) refuse(q *query, reason Refusal) {
+func (s *State) refuse(q *query, reason Refusal) { s.refuseAfter(q, reason, s.retryAfter(reason)) }
+
+// refuseAfter refuses a request whose caller may retry after the given time.
+func (s *State) refuseAfter(q *query, reason Refusal, retryAfter time.Duration) {
 	if reason.NotRun() {
 		// An attempt that was not sent yet must not be sent after the refusal.
 		s.cancelQueryCalls(q)
 	}
-	s.emit(Refuse{Query: q.id, Reason: reason, RetryAfter: s.retryAfter(reason)})
+	s.emit(Refuse{Query: q.id, Reason: reason, RetryAfter: retryAfter})
 	s.closeQuery(q, LogQueryRefused, reason.String())
 }
 
@@ -154,6 +157,7 @@
 	q.closed = true
 	delete(s.queries, q.id)
 	s.returnQuota(q)
+	s.admittedEnded(q, kind)
 	s.route(q.route).throttle.recordRequest(s.now, kind == LogQueryRefused || s.isLate(q))
 	s.emit(Log{Kind: kind, Query: s.queryReport(q, kind, outcome)})
 	if q.openCalls == 0 {
--- a/pkg/core/gateway/call.go
+++ b/pkg/core/gateway/call.go
@@ -160,6 +160,11 @@
 		s.partFailed(q, i, reasonRetryBudget)
 		return
 	}
+	if s.firstAttemptsWait(q, p.svc) {
+		q.retries++
+		s.enqueuePart(q, i)
+		return
+	}
 	srv, result := s.chooseLeaf(p.svc, q, p)
 	switch result {
 	case leafChosen:
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -287,6 +287,8 @@
 	LogReportsIgnored
 	LogReportsTrusted
 	LogCapacityStart
+	LogAdmissionLimited
+	LogAdmissionEnded
 	LogDomainEvacuated
 	LogDomainReturned
 	LogDaemonSeen
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -88,6 +88,7 @@
 	// waitingServices are the services with queued parts.
 	waitingServices []*service
 	rollouts        rolloutState
+	admission       admissionState
 }
 
 // New returns a reducer that knows no configuration and no leafs yet.
@@ -222,6 +223,7 @@
 	s.emit(Log{Kind: LogConfigApplied, Detail: e.Source, Number: int64(e.Config.Version)})
 	s.emit(ApplyLimits{Limits: e.Config.Limits})
 	s.dropRemovedRoutes()
+	s.dropRemovedPools()
 	for name, svc := range s.services {
 		c, ok := e.Config.Services[name]
 		svc.config = c
@@ -282,10 +284,13 @@
 	// LearnedLeafs report how fast their VM is; IgnoredReports of them report what their
 	// latency does not show.
 	LearnedLeafs, IgnoredReports int
-	Daemons                      int
-	OpenRequests                 int
-	OpenCalls                    int
-	Queued                       int
+	// LimitedPools is the number of services, or groups of shards, whose requests may be
+	// refused because of overload.
+	LimitedPools int
+	Daemons      int
+	OpenRequests int
+	OpenCalls    int
+	Queued       int
 	// LeastTokens is the smallest retry budget of any service, in attempts.
 	LeastTokens float64
 	// Throttle is the highest probability of any route with which a request is refused
@@ -330,6 +335,7 @@
 			out.ExcludedLeafs++
 		}
 	}
+	out.LimitedPools = s.limitedPools()
 	if s.config != nil {
 		out.Tenants = len(s.config.Tenants)
 	}
--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -52,6 +52,9 @@
 // again later.
 func (s *State) hedgePart(q *query, i int) bool {
 	p := &q.parts[i]
+	if s.firstAttemptsWait(q, p.svc) {
+		return false
+	}
 	if p.svc.retryTokens < 1 {
 		q.budgetDenied++
 		p.retryDenied = true
@@ -61,7 +64,7 @@
 	if result != leafChosen {
 		return result == noLeafLeft
 	}
-	if !s.hedgeHelps(q, p, srv) {
+	if !s.hedgeHelps(q, p, srv) || s.extraAttemptQueues(q, srv) {
 		return false
 	}
 	p.svc.withdrawRetryToken()
@@ -86,6 +89,9 @@
 	if !q.route.Idempotent || q.route.MaxAttempts < 2 || p.svc.retryTokens < probeTokenReserve {
 		return
 	}
+	if s.firstAttemptsWait(q, p.svc) {
+		return
+	}
 	for _, srv := range p.svc.servers {
 		if srv.relativeLatency < suspectRelativeLatency || srv.nextProbeAt > s.now || !s.usable(srv) || !s.inHomeRegion(srv, q.route) || !s.hasCapacity(srv) || p.tried(srv, false) {
 			continue
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/admission"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -105,7 +106,10 @@
 	// none does.
 	quotaTenant string
 	admittedAt  model.Time
-	arrived     model.Time
+	// pool has admitted the request, which asks for work; nil without tenants.
+	pool    *admission.Pool
+	work    float64
+	arrived model.Time
 	// spentBefore is an estimate of the time that the caller has spent before its
 	// request arrived.
 	spentBefore time.Duration
@@ -173,7 +177,11 @@
 		s.refuse(q, RefusalUnreachable)
 		return
 	}
-	if p := s.route(route).throttle.refusalProbability(s.now); p > 0 && s.rand.Float64() < p {
+	if s.config.directory != nil {
+		if !s.admits(q) {
+			return
+		}
+	} else if p := s.route(route).throttle.refusalProbability(s.now); p > 0 && s.rand.Float64() < p {
 		s.refuse(q, RefusalThrottled)
 		return
 	}
--- a/pkg/core/gateway/sections.go
+++ b/pkg/core/gateway/sections.go
@@ -31,7 +31,8 @@
 type TenantDemand struct {
 	Tenant            string
 	ArrivalsPerSecond float64
-	// WorkPerSecond is the work of these requests, in attempts at leafs.
+	// WorkPerSecond is the work of these requests, in seconds of leafs. It is told by daemons
+	// that refuse requests because of overload.
 	WorkPerSecond float64
 	// WantedShare is the share of the tenant's quota that the daemon needs beyond what it
 	// holds.
@@ -100,7 +101,7 @@
 // ownSections returns what this daemon tells the others.
 func (s *State) ownSections() Sections {
 	evidence, progress := s.rolloutSections()
-	return Sections{Quota: s.ownDemands(), Rollouts: evidence, Progress: progress}
+	return Sections{Quota: s.withWork(s.ownDemands()), Rollouts: evidence, Progress: progress}
 }
 
 // directTargets returns the addresses of the daemons that get this daemon's sections beside
--- a/pkg/core/gateway/service.go
+++ b/pkg/core/gateway/service.go
@@ -159,7 +159,7 @@
 	if len(svc.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(svc.queue, func(a, b queuedPart) int { return compareByPriority(a.query, b.query) })
+	slices.SortStableFunc(svc.queue, compareQueued)
 	remaining := svc.queue[:0]
 	for _, queued := range svc.queue {
 		p := &queued.query.parts[queued.part]
--- a/pkg/core/gateway/tenants.go
+++ b/pkg/core/gateway/tenants.go
@@ -106,6 +106,8 @@
 	OpenRequests int `json:"openRequests"`
 	// Quota is nil if the tenant's requests are not limited.
 	Quota *QuotaStatus `json:"quota,omitempty"`
+	// Admission is what the tenant gets by route.
+	Admission []AdmissionStatus `json:"admission,omitempty"`
 }
 
 // QuotaStatus is the use of a tenant's quota.
@@ -128,12 +130,12 @@
 	if s.config == nil {
 		return out
 	}
-	open := map[string]int{}
+	open, admitted := map[string]int{}, s.admissionStatus()
 	for _, q := range s.queries {
 		open[q.identity.Name()]++
 	}
 	for _, t := range s.config.directory.Tenants() {
-		status := TenantStatus{Name: t.Name, Keys: len(t.Keys), RatePerSecond: t.RatePerSecond, Burst: t.Burst, OpenRequests: open[t.Name]}
+		status := TenantStatus{Name: t.Name, Keys: len(t.Keys), RatePerSecond: t.RatePerSecond, Burst: t.Burst, OpenRequests: open[t.Name], Admission: admitted[t.Name]}
 		if t.HasPriority {
 			status.Priority = &t.Priority
 		}
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -191,6 +191,7 @@
 	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
 	gauge("leafs", "Known leafs.", func(s gateway.Status) float64 { return float64(s.Leafs) })
 	gauge("cold_leafs", "Leafs that are taken to be cold.", func(s gateway.Status) float64 { return float64(s.ColdLeafs) })
+	gauge("limited_pools", "Services, or groups of shards, whose requests are admitted by fair shares because they are overloaded.", func(s gateway.Status) float64 { return float64(s.LimitedPools) })
 	gauge("learned_leafs", "Leafs that report how fast their VM is and whose capacity is learned.", func(s gateway.Status) float64 { return float64(s.LearnedLeafs) })
 	gauge("ignored_report_leafs", "Leafs whose reports of their VM's speed are ignored because their latency does not show it.", func(s gateway.Status) float64 { return float64(s.IgnoredReports) })
 	gauge("suspect_leafs", "Leafs that are slow and probed.", func(s gateway.Status) float64 { return float64(s.SuspectLeafs) })
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -50,6 +50,9 @@
 	EdgeReportsIgnored ID = 1780
 	EdgeReportsTrusted ID = 1781
 	EdgeCapacityStart  ID = 1782
+
+	EdgeAdmissionLimited ID = 1790
+	EdgeAdmissionEnded   ID = 1791
 )
 
 var edgeEvents = []Def{
@@ -97,4 +100,6 @@
 	{EdgeReportsIgnored, "edge_reports_ignored", log.WarnLevel, "What a leaf reports about the speed of its VM does not show in its latency; its reports are ignored."},
 	{EdgeReportsTrusted, "edge_reports_trusted", log.InfoLevel, "What a leaf reports about the speed of its VM shows in its latency again and is used."},
 	{EdgeCapacityStart, "edge_capacity_start", log.InfoLevel, "The daemon starts from what another one, subject, has learned about number leafs."},
+	{EdgeAdmissionLimited, "edge_admission_limited", log.WarnLevel, "The leafs of the service in subject, and those asked with it, are overloaded; requests are admitted by priority and fair shares of tenants."},
+	{EdgeAdmissionEnded, "edge_admission_ended", log.InfoLevel, "The leafs of the service in subject bear all requests again; none is refused because of overload."},
 }
