--- a/pkg/cli/edge_explain_test.go
+++ b/pkg/cli/edge_explain_test.go
@@ -14,7 +14,7 @@
 		e := gateway.Explanation{Daemon: daemon, ConfigVersion: version, Route: &gateway.Route{Name: "r"}, Decision: gateway.Decision{Admitted: true}}
 		svc := gateway.ServiceExplanation{Name: "x"}
 		for i, id := range leafs {
-			svc.Leafs = append(svc.Leafs, gateway.LeafExplanation{LeafStatus: gateway.LeafStatus{ID: id}, Version: "v1", Chosen: i == 0})
+			svc.Leafs = append(svc.Leafs, gateway.LeafExplanation{LeafStatus: gateway.LeafStatus{ID: id, Version: "v1"}, Chosen: i == 0})
 		}
 		e.Services = append(e.Services, svc)
 		return e
@@ -38,7 +38,7 @@
   refused: throttled: c
 leaf i-2 differs
   not known: c
-  of x, version v1, draining false, evacuated false: a b
+  of x, version v1, draining false, evacuated false, excluded by version false: a b
 `
 	if text.String() != want {
 		t.Errorf("got\n%swant\n%s", text.String(), want)
--- a/pkg/core/gateway/explainleafs.go
+++ b/pkg/core/gateway/explainleafs.go
@@ -25,7 +25,7 @@
 		orders[x.Service] = x
 	}
 	for _, name := range services {
-		svc, tokens := s.service(name), decided.service(name).retryTokens
+		svc, tokens := s.service(name), decided.retryTokens(decided.service(name))
 		out := ServiceExplanation{
 			Name: name, RetryTokens: tokens, Connections: s.maxConnections(svc), Queued: len(svc.queue),
 			RetryAllowed: repeatable && tokens >= 1, HedgeAllowed: repeatable && r.Idempotent && tokens >= 1,
@@ -49,7 +49,7 @@
 	for _, srv := range svc.servers {
 		load := s.estimatedLoad(srv)
 		x := LeafExplanation{
-			LeafStatus: status[srv.ID], Version: srv.Version, Cost: s.attemptCost(srv, typical), availability: s.availability(srv, r),
+			LeafStatus: status[srv.ID], Cost: s.attemptCost(srv, typical), availability: s.availability(srv, r),
 			Chosen:     slices.Contains(attempts, PlannedAttempt{Service: svc.name, Leaf: srv.ID}),
 			ExpectedMS: milliseconds(typical) * s.expectedRatio(srv, load), WaitMS: milliseconds(typical) * (s.expectedRatio(srv, load) - s.expectedRatio(srv, 0)),
 			LoadAgeMS: s.ageMS(srv.othersLoadAt), AnswerAgeMS: s.ageMS(srv.lastAnswerAt),
--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -55,7 +55,7 @@
 	if s.firstAttemptsWait(q, p.svc) {
 		return false
 	}
-	if p.svc.retryTokens < 1 {
+	if s.retryTokens(p.svc) < 1 {
 		q.budgetDenied++
 		p.retryDenied = true
 		return false
@@ -67,7 +67,7 @@
 	if !s.hedgeHelps(q, p, srv) || s.extraAttemptQueues(q, srv) {
 		return false
 	}
-	p.svc.withdrawRetryToken()
+	s.withdrawRetryToken(p.svc)
 	s.sendCall(q, i, srv, true)
 	return true
 }
@@ -86,7 +86,7 @@
 // retry token only if enough are left for hedges.
 func (s *State) probeSlowLeaf(q *query, i int) {
 	p := &q.parts[i]
-	if !q.route.Idempotent || q.route.MaxAttempts < 2 || p.svc.retryTokens < probeTokenReserve {
+	if !q.route.Idempotent || q.route.MaxAttempts < 2 || s.retryTokens(p.svc) < probeTokenReserve {
 		return
 	}
 	if s.firstAttemptsWait(q, p.svc) {
@@ -100,7 +100,7 @@
 			continue
 		}
 		srv.nextProbeAt = s.now.Add(probeInterval)
-		p.svc.withdrawRetryToken()
+		s.withdrawRetryToken(p.svc)
 		s.sendCall(q, i, srv, true)
 		return
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -35,6 +35,7 @@
 	onPanic       func(where string, err error)
 	lag           func() time.Duration
 	onRefusal     func(client, reason string)
+	onInvalid     func(service, server string, err error)
 }
 
 // PeerLink sends messages to other daemons. Its methods must not block.
@@ -87,6 +88,9 @@
 	// OnRefusal, if set, is called with the address of each client whose request is outside
 	// the limits, and why; it must not block.
 	OnRefusal func(client, reason string)
+	// OnInvalidAnswer, if set, is called when a leaf sent bytes that are no answer; it must
+	// not block.
+	OnInvalidAnswer func(service, server string, err error)
 }
 
 // New returns a Runtime; Link must be called before the first event.
@@ -97,12 +101,15 @@
 	if c.OnRefusal == nil {
 		c.OnRefusal = func(string, string) {}
 	}
+	if c.OnInvalidAnswer == nil {
+		c.OnInvalidAnswer = func(string, string, error) {}
+	}
 	r := &Runtime{
 		lag: c.Lag, protocol: c.Protocol, pool: c.Pool, budget: c.Budget, log: c.Log, observer: c.Observer,
 		start: time.Now(), core: c.Core, onLimits: c.OnLimits, onPanic: c.OnPanic,
 		pending:       map[gateway.QueryID]*pendingRequest{},
 		calls:         map[gateway.CallID]*leafconn.Exchange{},
-		scheduledWake: model.Never, onRefusal: c.OnRefusal,
+		scheduledWake: model.Never, onRefusal: c.OnRefusal, onInvalid: c.OnInvalidAnswer,
 	}
 	r.timer = time.AfterFunc(time.Hour, func() { r.Post(gateway.Tick{}) })
 	return r
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -146,7 +146,7 @@
 	self := d.self
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	core := gateway.New(gateway.Options{
-		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack,
+		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: s.Retry.Window,
 		Quota:      quota.Bounds{Window: s.Quota.Window, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
 		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
 		Rollout: s.rolloutLimits(),
@@ -166,7 +166,8 @@
 			d.callerConns.SetIdleLimit(l.IdleTimeout)
 			d.setHeaderLimit(l.MaxHeaderBytes)
 		},
-		OnRefusal: func(client, reason string) { d.refusals.refused("caller", client, reason) },
+		OnInvalidAnswer: d.refusals.invalidAnswer,
+		OnRefusal:       func(client, reason string) { d.refusals.refused("caller", client, reason) },
 	})
 	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -35,6 +35,8 @@
 	EdgeExplained        ID = 1748
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
+	EdgeClientRefused    ID = 1752
+	EdgeAnswerInvalid    ID = 1753
 	EdgeTenantsChanged   ID = 1760
 	EdgeKeysRevoked      ID = 1761
 	EdgeQuotaExceeded    ID = 1762
@@ -45,7 +47,6 @@
 	EdgeRolloutActing      ID = 1772
 	EdgeRolloutVerdict     ID = 1773
 	EdgeRolloutWriteFailed ID = 1774
-	EdgeClientRefused      ID = 1752
 
 	EdgeReportsIgnored ID = 1780
 	EdgeReportsTrusted ID = 1781
@@ -91,6 +92,7 @@
 	{EdgeQuotaExceeded, "edge_quota_exceeded", log.InfoLevel, "A request of the tenant in subject was refused because of its quota, the first in ten seconds; number is how many requests this daemon may serve in a window."},
 	{EdgeQuotaHolding, "edge_quota_holding", log.InfoLevel, "The daemons that hold shares of quotas have changed; number counts them, detail says whether this daemon is one."},
 	{EdgeClientRefused, "edge_client_refused", log.WarnLevel, "A request outside the limits was refused, or its connection closed; client is the address. At most a few lines a second are written; left_out says how many were not since the line before, and the metric clients_refused_total counts all."},
+	{EdgeAnswerInvalid, "edge_answer_invalid", log.WarnLevel, "A leaf sent bytes that are no answer in HTTP/1; the attempt counts as lost. error quotes the first of them. At most a few lines a second are written; left_out says how many were not since the line before, and the metric invalid_answers_total counts all."},
 	{EdgeListenerError, "edge_listener_error", log.WarnLevel, "A listener, or the probe of the read lag, failed at one connection; the daemon continues."},
 	{EdgeRolloutStarted, "edge_rollout_started", log.InfoLevel, "An order asks for the traffic of the service in subject to be moved to the version in detail within age_ms."},
 	{EdgeRolloutWithdrawn, "edge_rollout_withdrawn", log.InfoLevel, "The order for the version in detail is gone or replaced. Without a verdict its leafs are used only if no others are left."},
