--- a/pkg/core/gateway/hedge.go
+++ b/pkg/core/gateway/hedge.go
@@ -52,6 +52,9 @@
 // again later.
 func (s *State) hedgePart(q *query, i int) bool {
 	p := &q.parts[i]
+	if s.firstAttemptsWait(q, p.svc) {
+		return false
+	}
 	if s.retryTokens(p.svc) < 1 {
 		q.budgetDenied++
 		p.retryDenied = true
@@ -61,7 +64,7 @@
 	if result != leafChosen {
 		return result == noLeafLeft
 	}
-	if !s.hedgeHelps(q, p, srv) {
+	if !s.hedgeHelps(q, p, srv) || s.extraAttemptQueues(q, srv) {
 		return false
 	}
 	s.withdrawRetryToken(p.svc)
@@ -86,6 +89,9 @@
 	if !q.route.Idempotent || q.route.MaxAttempts < 2 || s.retryTokens(p.svc) < probeTokenReserve {
 		return
 	}
+	if s.firstAttemptsWait(q, p.svc) {
+		return
+	}
 	for _, srv := range p.svc.servers {
 		if srv.relativeLatency < suspectRelativeLatency || srv.nextProbeAt > s.now || !s.usable(srv) || !s.inHomeRegion(srv, q.route) || !s.hasCapacity(srv) || p.tried(srv, false) {
 			continue
