--- a/measure/fleet/faults.go
+++ b/measure/fleet/faults.go
@@ -16,7 +16,7 @@
 		case FaultBurst:
 			w.at(begin, func() { w.rate *= f.Times })
 			w.at(end, func() { w.rate /= f.Times })
-		case FaultFlood:
+		case FaultSurge:
 			for _, x := range w.senders {
 				if x.name == f.Tenant {
 					w.at(begin, func() { x.times *= f.Times })
--- a/measure/fleet/profile.go
+++ b/measure/fleet/profile.go
@@ -96,7 +96,7 @@
 	FaultRestart     = "restart"      // all daemons end, and start after For
 	FaultStoreOutage = "store_outage" // the store does not answer
 	FaultGiveUp      = "give_up"      // Share of the callers leave early
-	FaultFlood       = "flood"        // Tenant sends Times as much
+	FaultSurge       = "surge"        // Tenant sends Times as much
 )
 
 // Fault is one disturbance, from At for For.
@@ -223,7 +223,7 @@
 func readFault(n yamldoc.Node) Fault {
 	m := n.Map("kind", "at", "for", "share", "ratio", "times", "tenant")
 	return Fault{
-		Kind: m.Need("kind").OneOf(FaultBurst, FaultBurst, FaultSlow, FaultDark, FaultFail, FaultLose, FaultRepartition, FaultRestart, FaultStoreOutage, FaultGiveUp, FaultFlood),
+		Kind: m.Need("kind").OneOf(FaultBurst, FaultBurst, FaultSlow, FaultDark, FaultFail, FaultLose, FaultRepartition, FaultRestart, FaultStoreOutage, FaultGiveUp, FaultSurge),
 		At:   m.Need("at").Duration(0, 0, maxLength), For: m.Get("for").Duration(time.Second, 0, maxLength),
 		Share: m.Get("share").Float(0.2, 0, 1), Ratio: m.Get("ratio").Float(0.5, 0, 1), Times: m.Get("times").Float(1, 0, maxFactor), Tenant: m.Get("tenant").Name(),
 	}
--- a/measure/fleet/tenants_test.go
+++ b/measure/fleet/tenants_test.go
@@ -35,9 +35,9 @@
 	p := load(t, "tenants.yaml")
 	faults := p.Faults
 	p.Faults = nil
-	calm, _ := servedBesideFlood(RunSeeds(p, 1, 1), "flood")
+	calm, _ := servedBesideFlood(RunSeeds(p, 1, 2), "flood")
 	p.Faults = faults
-	runs := RunSeeds(p, 1, 2)
+	runs := RunSeeds(p, 1, 4)
 	others, worst := servedBesideFlood(runs, "flood")
 	if others < 0.95*calm || worst < 0.9*calm {
 		t.Errorf("others %.3f in time, the worst tenth %.3f, without overload %.3f", others, worst, calm)
--- a/pkg/cli/edge_tenants.go
+++ b/pkg/cli/edge_tenants.go
@@ -26,11 +26,14 @@
 		fmt.Fprintf(&out, "%s: %d keys, priority %s, open %d, ", x.Name, x.Keys, priority, x.OpenRequests)
 		if x.Quota == nil {
 			out.WriteString("no limit\n")
-			continue
+		} else {
+			q := x.Quota
+			fmt.Fprintf(&out, "limit %v/s and burst %v; admitted %d of %d here, %.0f by all, borrowed %.3f, lent %.3f, refused %d\n",
+				x.RatePerSecond, x.Burst, q.Admitted, q.Limit, q.Allowance, q.Borrowed, q.Lent, q.Refused)
+		}
+		for _, a := range x.Admission {
+			fmt.Fprintf(&out, "  route %s at %s: %.3f s of leafs a second asked here, %.0f%% admitted\n", a.Route, a.Pool, a.Work, 100*a.Admitted)
 		}
-		q := x.Quota
-		fmt.Fprintf(&out, "limit %v/s and burst %v; admitted %d of %d here, %.0f by all, borrowed %.3f, lent %.3f, refused %d\n",
-			x.RatePerSecond, x.Burst, q.Admitted, q.Limit, q.Allowance, q.Borrowed, q.Lent, q.Refused)
 	}
 	if len(l) == 0 {
 		out.WriteString("the configuration has no tenants\n")
--- a/pkg/core/gateway/admissions.go
+++ b/pkg/core/gateway/admissions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/admission"
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -246,3 +247,19 @@
 	}
 	maps.DeleteFunc(s.admission.pools, func(name string, _ *admission.Pool) bool { return !asked[name] })
 }
+
+// refusedShare returns the share of the requests of a credential to a route that are refused
+// because its leafs are overloaded.
+func (s *State) refusedShare(r *Route, c tenant.Credential) float64 {
+	if s.config.directory == nil {
+		return s.route(r).throttle.refusalProbability(s.now)
+	}
+	name := s.config.directory.Identify(c, r.Public).Name()
+	refused := 0.0
+	for _, x := range s.admissionStatus()[name] {
+		if x.Route == r.Name {
+			refused = max(refused, 1-x.Admitted)
+		}
+	}
+	return refused
+}
--- a/pkg/core/gateway/explain.go
+++ b/pkg/core/gateway/explain.go
@@ -85,8 +85,8 @@
 	RetryAfterMS float64 `json:"retryAfterMs,omitempty"`
 	// Status is the status that the caller would get; 0 if a leaf's answer decides.
 	Status int `json:"status,omitempty"`
-	// RefusalProbability is that with which the route's requests are refused at random
-	// because its leafs are overloaded.
+	// RefusalProbability is the share of the route's requests, with tenants of this tenant's to
+	// it, that are refused because its leafs are overloaded.
 	RefusalProbability float64 `json:"refusalProbability,omitempty"`
 	// Attempts are those that would be sent at once, Queued the services whose part would
 	// wait and Missing those whose part would be given up, with the reason.
@@ -189,7 +189,7 @@
 		return e
 	}
 	e.Tenant = s.explainTenant(e.Route, credential)
-	e.Decision.RefusalProbability = s.route(e.Route).throttle.refusalProbability(s.now)
+	e.Decision.RefusalProbability = s.refusedShare(e.Route, credential)
 	s.explainServices(&e, decided)
 	return e
 }
