--- a/test/soak/site_test.go
+++ b/test/soak/site_test.go
@@ -328,3 +328,23 @@
 	}
 	return list
 }
+
+// keepLogs keeps the daemons' logs of a failed seed.
+func (s *site) keepLogs(t *testing.T, seed uint64) {
+	t.Helper()
+	dir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-seed-%d", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Error(err)
+		return
+	}
+	for _, d := range s.daemons {
+		data, err := os.ReadFile(d.log.Name())
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, d.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("logs are in %s; again: go test ./test/soak -run Soak -seed %d -seeds 1", dir, seed)
+}
