--- a/pkg/core/gateway/quota/loans.go
+++ b/pkg/core/gateway/quota/loans.go
@@ -14,25 +14,9 @@
 	// keepShare is the part of its share that a holder without demand does not lend, so
 	// that the first requests of a tenant whose callers change daemons are served.
 	keepShare = 0.2
-	// deviations is by how many standard deviations the requests that a daemon can admit
-	// exceed the greatest number of the latest windows.
-	deviations = 1.0
 	// lendRatio is what holders lend together, relative to what is asked for: some have
 	// nothing to lend.
-	lendRatio = 1.0
-	// minRise is by how many requests in a window, and minRiseRatio by which part, a demand
-	// must rise to be told before the next full message.
-	minRise      = 0.5
-	minRiseRatio = 0.3
-	// shortAhead is how far ahead of a shortage a daemon asks, in seconds of a window of
-	// five: until an answer is there and once more if that is lost.
-	shortAhead = 0.5
-	// minHeldAhead is the number of requests in a window from which a daemon asks while it
-	// can still admit one. Each request of a small tenant would cause messages otherwise.
-	minHeldAhead = 3
-	// peakHalfLife is the time in which half of the greatest demand is forgotten. A daemon
-	// that lent what it does not need at the moment would ask for it soon.
-	peakHalfLife = 10 * time.Second
+	lendRatio = 1.15
 	// boostInterval is the time after which a daemon that got less than it needs asks for
 	// more: lenders assume that most of them can lend.
 	boostInterval = 200 * time.Millisecond
@@ -42,10 +26,6 @@
 	maxSurplus = 2.5
 	// loanDelay is the time within which other daemons lend to one that asks.
 	loanDelay = 300 * time.Millisecond
-	// risingSlots are the slots, a second in a window of five, from which a rising demand is
-	// seen, and minRising the requests in them that count as one.
-	risingSlots = windowSlots / 5
-	minRising   = 6
 	// sentMessages is the number of messages of which the time of sending is kept. It
 	// must cover loanLifetime at 20 messages a second.
 	sentMessages = 64
@@ -76,6 +56,16 @@
 	Echo   Echo
 }
 
+// process is a process of another daemon.
+type process struct {
+	daemon      string
+	incarnation uint64
+}
+
+func (p process) compare(other process) int {
+	return cmp.Or(cmp.Compare(p.daemon, other.daemon), cmp.Compare(p.incarnation, other.incarnation))
+}
+
 // loan is a share that may be used until a time.
 type loan struct {
 	share float64
@@ -108,7 +98,7 @@
 // latest window: a share that comes back is not used again before that.
 func (s *State) lent(now model.Time, a *account) float64 {
 	sum := 0.0
-	for _, borrower := range slices.Sorted(maps.Keys(a.lent)) {
+	for _, borrower := range slices.SortedFunc(maps.Keys(a.lent), process.compare) {
 		loans := a.lent[borrower]
 		loans = slices.DeleteFunc(loans, func(l loan) bool { return now >= l.until.Add(s.bounds.Window+s.slot()) })
 		if len(loans) == 0 {
@@ -143,70 +133,6 @@
 	return sum
 }
 
-// need is the number of requests in a window that this daemon should be able to admit: those
-// of the latest windows with a margin, or more if the rate rises.
-func (a *account) need(now model.Time) float64 {
-	peak := a.peakAtTime(now)
-	need := peak + deviations*math.Sqrt(peak) + 1
-	if n := a.arrivals.since(risingSlots); n >= minRising {
-		need = max(need, float64(n*windowSlots/risingSlots))
-	}
-	return need
-}
-
-// peakAtTime is the greatest number of requests in a window, of which half is forgotten in
-// each peakHalfLife.
-func (a *account) peakAtTime(now model.Time) float64 {
-	return a.peak * math.Exp2(-float64(now.Sub(a.peakAt))/float64(peakHalfLife))
-}
-
-// isShort reports whether the requests that may arrive until others have lent exceed a
-// number.
-func (a *account) isShort(held float64) bool {
-	next := float64(a.arrivals.since(risingSlots)) * shortAhead
-	if held >= minHeldAhead {
-		next = max(1, next)
-	}
-	return float64(a.arrivals.total)+next >= math.Floor(held)
-}
-
-// updateWant updates what this daemon asks for, after a request. It begins to ask when it is
-// short, and ends when it needs no more than it holds.
-func (s *State) updateWant(now model.Time, a *account) {
-	if n := float64(a.arrivals.total); n >= a.peakAtTime(now) {
-		a.peak, a.peakAt = n, now
-	}
-	own := s.ownBeforeLoans(now, a)
-	if a.want == 0 && !a.isShort(own*s.allowance(a.limits)) {
-		return
-	}
-	s.setWant(now, a, own)
-	if a.want > 0 && a.want-a.toldWant >= max(minRise/s.allowance(a.limits), minRiseRatio*a.toldWant) {
-		s.urgent = true
-	}
-}
-
-// ownBeforeLoans is the share of a tenant that this daemon would hold without its loans to
-// others.
-func (s *State) ownBeforeLoans(now model.Time, a *account) float64 {
-	if now < s.spentUntil {
-		return s.own(now, a)
-	}
-	return s.holding.share()
-}
-
-func (s *State) setWant(now model.Time, a *account, own float64) {
-	want := max(0, min(a.need(now)/s.allowance(a.limits), 1)-own)
-	switch {
-	case want == 0:
-		delete(s.wanting, a.tenant)
-	case a.want == 0:
-		a.wantSince, a.boost = now, 1
-		s.wanting[a.tenant] = a
-	}
-	a.want = want
-}
-
 // Claims returns what this daemon asks for, the greatest shares first. They count as told.
 func (s *State) Claims(now model.Time) []Claim {
 	var out []Claim
@@ -328,7 +254,7 @@
 	if ok {
 		p.waiting = false
 	}
-	if !ok || s.holding.share() == 0 || now < s.spentUntil {
+	if !ok || s.holding.Index < 0 || now < s.spentUntil {
 		return nil, Echo{}
 	}
 	until := p.receivedAt.Add(loanLifetime)
@@ -343,7 +269,7 @@
 		}
 		a := s.account(now, c.Tenant, l)
 		if share := s.loanFor(now, a, borrower, c.Share); share > 0 {
-			a.lend(borrower, loan{share, until})
+			a.lend(process{borrower, p.incarnation}, loan{share, until})
 			out = append(out, Loan{Tenant: c.Tenant, Share: share})
 		}
 	}
@@ -352,30 +278,25 @@
 
 // loanFor returns the share of a tenant that is lent to a daemon that asks for one. This
 // daemon keeps what it has used in the latest window and what it needs. The rest is
-// divided in the ratio of the claims. Each is met to the part that falls to one holder. A holding of less than one request goes to one claimant as a whole, the
-// same one at all holders.
+// divided in the ratio of the claims. Each is met to the part that falls to one holder. If
+// there are fewer requests than holders, what nobody uses goes to one claimant, the same
+// one at all holders.
 func (s *State) loanFor(now model.Time, a *account, borrower string, asked float64) float64 {
-	share, allowance := s.holding.share(), s.allowance(a.limits)
+	share, allowance := s.share(a), s.allowance(a.limits)
 	used := float64(a.admitted.total) / allowance
-	available := share - max(used, a.need(now)/allowance, share*keepShare)
-	whole := share*allowance >= 1
-	if !whole {
-		available = share - used
-	}
-	lendable := available
-	// Loans that have ended are dropped.
-	_ = s.lent(now, a)
-	left := share
-	for _, other := range slices.Sorted(maps.Keys(a.lent)) {
-		if other != borrower {
-			available -= greatestShare(a.lent[other])
-			left -= greatestShare(a.lent[other])
-		}
-	}
+	lendable := share - max(used, a.need(now)/allowance, share*keepShare)
+	scarce := allowance < float64(s.holding.Holders)
+	if scarce && a.meanAt(now) < idleMean {
+		lendable = share - used
+	}
+	// What this process of the borrower has from this daemon is replaced by the new loan.
+	// An earlier process may have used what it had.
+	sameProcess := process{borrower, s.peers[borrower].incarnation}
+	available := lendable - (s.lent(now, a) - greatestShare(a.lent[sameProcess]))
 	if available <= 0 {
 		return 0
 	}
-	// This daemon's own claim counts among those for the parts of a request.
+	// This daemon's own claim counts among those for a scarce allowance.
 	sum, first, greatest := 0.0, s.self, min(1, a.want*a.boost)
 	for _, name := range s.Borrowers(now) {
 		for _, c := range s.peers[name].claims {
@@ -388,38 +309,17 @@
 			}
 		}
 	}
-	switch {
-	case sum <= 0:
+	if sum <= 0 || scarce && first != borrower {
 		return 0
-	case !whole && first == borrower:
-		return available
-	case !whole:
-		return 0
-	}
-	wanted := asked * lendRatio / float64(max(1, s.holding.Holders-1))
-	most := min(available, lendable*asked/sum)
-	if a.peakAtTime(now) < 1 {
-		// Nobody misses what rounding up lends.
-		if more := wholeRequests(wanted*allowance+1, left*allowance) / allowance; more <= most {
-			return more
-		}
-	}
-	return wholeRequests(min(wanted, most)*allowance, left*allowance) / allowance
-}
-
-// wholeRequests rounds a loan down so that, of what the lender holds, the part of a request
-// that it cannot use goes first and then whole requests.
-func wholeRequests(loan, held float64) float64 {
-	part := held - math.Floor(held)
-	if loan <= part {
-		return loan
 	}
-	return part + math.Floor(loan-part)
+	wanted := s.holding.part(int(math.Ceil(asked*allowance*lendRatio-rounding)), a.tenant+"/"+borrower)
+	most := math.Floor(min(available, max(lendable*asked/sum, 1/allowance))*allowance + rounding)
+	return min(float64(wanted), most) / allowance
 }
 
 // lend records a loan. Earlier ones that were greater stay counted until they end, since
 // the borrower may not know of the new one.
-func (a *account) lend(borrower string, l loan) {
+func (a *account) lend(borrower process, l loan) {
 	loans := slices.DeleteFunc(a.lent[borrower], func(old loan) bool { return old.share <= l.share && old.until <= l.until })
 	a.lent[borrower] = append(loans, l)
 }
