--- a/pkg/core/gateway/quotafleet_test.go
+++ b/pkg/core/gateway/quotafleet_test.go
@@ -49,7 +49,7 @@
 type quotaMessage struct {
 	at model.Time
 	to int
-	e  GossipReceived
+	e  Event
 }
 
 func newQuotaFleet(t *testing.T, seed uint64, size int, bounds quota.Bounds, tenants ...*tenant.Tenant) *quotaFleet {
@@ -85,6 +85,10 @@
 
 func (f *quotaFleet) step(i int, e Event) {
 	s := f.daemons[i]
+	if s == nil {
+		// The daemon has ended.
+		return
+	}
 	for _, effect := range slices.Clone(s.Step(f.now, e)) {
 		switch e := effect.(type) {
 		case Gossip:
@@ -161,7 +165,7 @@
 			f.step(m.to, m.e)
 		}
 		for i, s := range f.daemons {
-			if s.NextWake() <= f.now {
+			if s != nil && s.NextWake() <= f.now {
 				f.step(i, Tick{})
 			}
 		}
@@ -262,6 +266,64 @@
 	}
 }
 
+// Guards against more requests than the bound allows while daemons join, take over shares and
+// leave, and each learns of it up to a second later than others.
+func TestQuotaHoldsWhileDaemonsComeAndGo(t *testing.T) {
+	const listDelay = time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			tenants := []*tenant.Tenant{limitedTenant("a", 19, 19), limitedTenant("b", 0.5, 1), limitedTenant("c", 3, 2), limitedTenant("d", 100, 100)}
+			f := newQuotaFleet(t, seed, 8, testBounds, tenants...)
+			alive := func(i int) bool { return f.daemons[i] != nil }
+			changed := f.now
+			f.run(60*time.Second, func(step time.Duration) {
+				if f.now.Sub(changed) > 2*f.bounds.Window {
+					changed = f.now
+					if f.rand.IntN(2) == 0 && len(f.entries) < 14 {
+						f.join()
+					} else if i := f.rand.IntN(len(f.entries)); alive(i) {
+						f.daemons[i] = nil
+					}
+					var list []DaemonEntry
+					for i, e := range f.entries {
+						if alive(i) {
+							list = append(list, e)
+						}
+					}
+					for i := range f.entries {
+						f.queue = append(f.queue, quotaMessage{f.now.Add(time.Duration(f.rand.Float64() * float64(listDelay))), i, DaemonsListed{Daemons: list}})
+					}
+				}
+				for _, x := range tenants {
+					f.arrivals(step, x.Name, x.RatePerSecond*4+1, func() int {
+						for {
+							if i := f.rand.IntN(len(f.daemons)); alive(i) {
+								return i
+							}
+						}
+					})
+				}
+			})
+			for _, x := range tenants {
+				if got := f.greatestWindow(x.Name); float64(got) > f.bound(x) {
+					t.Errorf("tenant %s: %d requests in a window, %.1f allowed", x.Name, got, f.bound(x))
+				}
+			}
+		})
+	}
+}
+
+// join adds a daemon, on a larger VM than some others.
+func (f *quotaFleet) join() {
+	i := len(f.entries)
+	f.entries = append(f.entries, DaemonEntry{
+		Name: fmt.Sprintf("d%d", i), CallerAddress: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: fmt.Sprint(i), FailureDomain: []string{"a", "b"}[i%2], Cores: []float64{0.8, 0.2}[i%2],
+	})
+	f.daemons = append(f.daemons, nil)
+	f.start(i, true)
+}
+
 // loanTime is the time for which loans are used.
 const loanTime = 1500 * time.Millisecond
 
