--- a/pkg/core/gateway/quotafleet_test.go
+++ b/pkg/core/gateway/quotafleet_test.go
@@ -40,18 +40,21 @@
 	failRatio float64
 }
 
+// testBounds are the bounds of the first users.
+var testBounds = quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
 // ranRequest is a request that a leaf ran.
 type ranRequest struct{ sent, ran model.Time }
 
 type quotaMessage struct {
 	at model.Time
 	to int
-	e  GossipReceived
+	e  Event
 }
 
-func newQuotaFleet(t *testing.T, seed uint64, size int, tenants ...*tenant.Tenant) *quotaFleet {
+func newQuotaFleet(t *testing.T, seed uint64, size int, bounds quota.Bounds, tenants ...*tenant.Tenant) *quotaFleet {
 	f := &quotaFleet{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: model.Time(time.Second), bounds: quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20},
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: model.Time(time.Second), bounds: bounds,
 		sent: map[QueryID]model.Time{}, ran: map[string][]ranRequest{}, refused: map[string]int{}, waits: map[string][]time.Duration{}, maxDelay: 3 * time.Millisecond, cut: func(int, int) bool { return false },
 	}
 	route := plainRoute("/a/", "s")
@@ -82,6 +85,10 @@
 
 func (f *quotaFleet) step(i int, e Event) {
 	s := f.daemons[i]
+	if s == nil {
+		// The daemon has ended.
+		return
+	}
 	for _, effect := range slices.Clone(s.Step(f.now, e)) {
 		switch e := effect.(type) {
 		case Gossip:
@@ -158,7 +165,7 @@
 			f.step(m.to, m.e)
 		}
 		for i, s := range f.daemons {
-			if s.NextWake() <= f.now {
+			if s != nil && s.NextWake() <= f.now {
 				f.step(i, Tick{})
 			}
 		}
@@ -213,15 +220,22 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			tenants := []*tenant.Tenant{limitedTenant("a", 19, 19), limitedTenant("b", 0.5, 1), limitedTenant("c", 3, 2), limitedTenant("d", 100, 100), limitedTenant("e", 0.1, 1)}
-			f := newQuotaFleet(t, seed, []int{1, 3, 6, 8, 9}[seed%5], tenants...)
+			// Without slack nothing hides a request too many.
+			bounds := testBounds
+			if seed%2 == 1 {
+				bounds.Overshoot, bounds.Slack = 0, 0
+			}
+			f := newQuotaFleet(t, seed, []int{1, 3, 6, 8, 9}[seed%5], bounds, tenants...)
 			size := len(f.daemons)
 			f.lossRatio, f.duplicateRatio, f.maxDelay = 0.3*f.rand.Float64(), 0.2, time.Duration(f.rand.Float64()*float64(2*time.Second))
 			f.failRatio = 0.1
-			focus, side := map[string]int{}, make([]int, size)
+			// focus is the daemon that most callers of a tenant use, at a multiple of the limit.
+			focus, load, side := map[string]int{}, map[string]float64{}, make([]int, size)
 			lastRestart := make([]model.Time, size)
 			f.run(40*time.Second, func(step time.Duration) {
 				if f.rand.Float64() < 0.02 {
-					focus[tenants[f.rand.IntN(len(tenants))].Name] = f.rand.IntN(size + 1)
+					name := tenants[f.rand.IntN(len(tenants))].Name
+					focus[name], load[name] = f.rand.IntN(size+1), []float64{0, 0.6, 1, 5}[f.rand.IntN(4)]
 				}
 				if f.rand.Float64() < 0.003 {
 					side[f.rand.IntN(size)] = f.rand.IntN(2)
@@ -235,8 +249,8 @@
 					f.start(i, false)
 				}
 				for _, x := range tenants {
-					f.arrivals(step, x.Name, x.RatePerSecond*4+1, func() int {
-						if at := focus[x.Name]; at < size && f.rand.Float64() < 0.8 {
+					f.arrivals(step, x.Name, x.RatePerSecond*load[x.Name]+load[x.Name], func() int {
+						if at := focus[x.Name]; at < size && f.rand.Float64() < 0.97 {
 							return at
 						}
 						return f.rand.IntN(size)
@@ -252,6 +266,64 @@
 	}
 }
 
+// Guards against more requests than the bound allows while daemons join, take over shares and
+// leave, and each learns of it up to a second later than others.
+func TestQuotaHoldsWhileDaemonsComeAndGo(t *testing.T) {
+	const listDelay = time.Second
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			tenants := []*tenant.Tenant{limitedTenant("a", 19, 19), limitedTenant("b", 0.5, 1), limitedTenant("c", 3, 2), limitedTenant("d", 100, 100)}
+			f := newQuotaFleet(t, seed, 8, testBounds, tenants...)
+			alive := func(i int) bool { return f.daemons[i] != nil }
+			changed := f.now
+			f.run(60*time.Second, func(step time.Duration) {
+				if f.now.Sub(changed) > 2*f.bounds.Window {
+					changed = f.now
+					if f.rand.IntN(2) == 0 && len(f.entries) < 14 {
+						f.join()
+					} else if i := f.rand.IntN(len(f.entries)); alive(i) {
+						f.daemons[i] = nil
+					}
+					var list []DaemonEntry
+					for i, e := range f.entries {
+						if alive(i) {
+							list = append(list, e)
+						}
+					}
+					for i := range f.entries {
+						f.queue = append(f.queue, quotaMessage{f.now.Add(time.Duration(f.rand.Float64() * float64(listDelay))), i, DaemonsListed{Daemons: list}})
+					}
+				}
+				for _, x := range tenants {
+					f.arrivals(step, x.Name, x.RatePerSecond*4+1, func() int {
+						for {
+							if i := f.rand.IntN(len(f.daemons)); alive(i) {
+								return i
+							}
+						}
+					})
+				}
+			})
+			for _, x := range tenants {
+				if got := f.greatestWindow(x.Name); float64(got) > f.bound(x) {
+					t.Errorf("tenant %s: %d requests in a window, %.1f allowed", x.Name, got, f.bound(x))
+				}
+			}
+		})
+	}
+}
+
+// join adds a daemon, on a larger VM than some others.
+func (f *quotaFleet) join() {
+	i := len(f.entries)
+	f.entries = append(f.entries, DaemonEntry{
+		Name: fmt.Sprintf("d%d", i), CallerAddress: fmt.Sprintf("10.0.0.%d:80", i), PeerAddress: fmt.Sprint(i), FailureDomain: []string{"a", "b"}[i%2], Cores: []float64{0.8, 0.2}[i%2],
+	})
+	f.daemons = append(f.daemons, nil)
+	f.start(i, true)
+}
+
 // loanTime is the time for which loans are used.
 const loanTime = 1500 * time.Millisecond
 
--- a/pkg/core/gateway/quotas_test.go
+++ b/pkg/core/gateway/quotas_test.go
@@ -168,7 +168,7 @@
 		h.step(Registered{First: true})
 		h.advance(2*time.Second + 50*time.Millisecond)
 		h.otherEffects = nil
-		for range 3 {
+		for range 6 {
 			h.finish(h.requestWithKey("/a/", "a", time.Second))
 		}
 		h.advance(quotaGossipInterval)
