--- a/pkg/edged/tenants_test.go
+++ b/pkg/edged/tenants_test.go
@@ -30,7 +30,7 @@
 	s.configureTenants([]standin.Tenant{{Name: "ralo620", Keys: []string{"secret-key"}}}, route("/one/", "one"), public)
 	d := s.daemon(1)
 	eventually(t, startTimeout, "ready", d.ready)
-	const key = "X-Api-Key: secret-key\r\n"
+	const key = standin.KeyHeader + ": secret-key\r\n"
 	for name, x := range map[string]struct {
 		path, lines string
 		status      int
@@ -38,23 +38,23 @@
 	}{
 		"key":                        {"/one/x", key, 200, "ralo620"},
 		"other case":                 {"/one/x", "x-aPI-kEY: secret-key\r\n", 200, "ralo620"},
-		"blanks around the key":      {"/one/x", "X-Api-Key: \t secret-key \t\r\n", 200, "ralo620"},
-		"stated tenant":              {"/one/x", key + "X-Pistachiousher-Tenant: other\r\n", 200, "ralo620"},
+		"blanks around the key":      {"/one/x", standin.KeyHeader + ": \t secret-key \t\r\n", 200, "ralo620"},
+		"stated tenant":              {"/one/x", key + standin.TenantHeader + ": other\r\n", 200, "ralo620"},
 		"stated tenant twice":        {"/one/x", key + "x-pistachiousher-tenant: other\r\nX-PISTACHIOUSHER-TENANT: third\r\n", 200, "ralo620"},
-		"tenant named in Connection": {"/one/x", key + "Connection: X-Pistachiousher-Tenant\r\nX-Pistachiousher-Tenant: other\r\n", 200, "ralo620"},
+		"tenant named in Connection": {"/one/x", key + "Connection: " + standin.TenantHeader + "\r\n" + standin.TenantHeader + ": other\r\n", 200, "ralo620"},
 		"key named in Connection":    {"/one/x", key + "Connection: x-api-key, close\r\n", 200, "ralo620"},
-		"tenant as a trailer":        {"/one/x", key + "Trailer: X-Pistachiousher-Tenant\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Pistachiousher-Tenant: other\r\n", 200, "ralo620"},
-		"key as a trailer":           {"/one/x", "Trailer: X-Api-Key\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Api-Key: secret-key\r\n", 401, ""},
+		"tenant as a trailer":        {"/one/x", key + "Trailer: " + standin.TenantHeader + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + standin.TenantHeader + ": other\r\n", 200, "ralo620"},
+		"key as a trailer":           {"/one/x", "Trailer: " + standin.KeyHeader + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + standin.KeyHeader + ": secret-key\r\n", 401, ""},
 		"no key":                     {"/one/x", "", 401, ""},
-		"only a tenant":              {"/one/x", "X-Pistachiousher-Tenant: ralo620\r\n", 401, ""},
-		"empty key":                  {"/one/x", "X-Api-Key: \r\n", 401, ""},
+		"only a tenant":              {"/one/x", standin.TenantHeader + ": ralo620\r\n", 401, ""},
+		"empty key":                  {"/one/x", standin.KeyHeader + ": \r\n", 401, ""},
 		"key twice":                  {"/one/x", key + key, 401, ""},
-		"key and an empty one":       {"/one/x", key + "X-Api-Key:\r\n", 401, ""},
-		"unknown key":                {"/one/x", "X-Api-Key: secret\r\n", 401, ""},
-		"scheme before the key":      {"/one/x", "X-Api-Key: Bearer secret-key\r\n", 401, ""},
-		"hash of the key":            {"/one/x", "X-Api-Key: 85dbe15d75ef9308c7ae0f33c7a324cc6f4bf519a2ed2f3027bd33c140a4f9aa\r\n", 401, ""},
+		"key and an empty one":       {"/one/x", key + standin.KeyHeader + ":\r\n", 401, ""},
+		"unknown key":                {"/one/x", standin.KeyHeader + ": secret\r\n", 401, ""},
+		"scheme before the key":      {"/one/x", standin.KeyHeader + ": Bearer secret-key\r\n", 401, ""},
+		"hash of the key":            {"/one/x", standin.KeyHeader + ": 85dbe15d75ef9308c7ae0f33c7a324cc6f4bf519a2ed2f3027bd33c140a4f9aa\r\n", 401, ""},
 		"public":                     {"/public/x", "", 200, ""},
-		"public with key and tenant": {"/public/x", key + "X-Pistachiousher-Tenant: ralo620\r\n", 200, ""},
+		"public with key and tenant": {"/public/x", key + standin.TenantHeader + ": ralo620\r\n", 200, ""},
 		"public with key twice":      {"/public/x", key + key, 200, ""},
 		"no route":                   {"/none/x", "", 404, ""},
 	} {
@@ -69,7 +69,7 @@
 				t.Errorf("%s: refused and sent to a leaf", name)
 			}
 			continue
-		case len(arrivals) != 1 || arrivals[0].Tenant != x.tenant || len(arrivals[0].Header.Values("X-Pistachiousher-Tenant")) > 1:
+		case len(arrivals) != 1 || arrivals[0].Tenant != x.tenant || len(arrivals[0].Header.Values(standin.TenantHeader)) > 1:
 			t.Errorf("%s: the leaf got %+v, want tenant %q", name, arrivals, x.tenant)
 			continue
 		}
@@ -112,10 +112,10 @@
 	s.configure(route("/one/", "one"))
 	d := s.daemon(1)
 	eventually(t, startTimeout, "ready", d.ready)
-	if status := rawStatus(t, d, standin.RequestHead("GET", "/one/x", host, time.Second)+"X-Api-Key: k\r\nX-Pistachiousher-Tenant: t\r\n"); status != http.StatusOK {
+	if status := rawStatus(t, d, standin.RequestHead("GET", "/one/x", host, time.Second)+standin.KeyHeader+": k\r\n"+standin.TenantHeader+": t\r\n"); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
-	if got := leaf.Arrivals()[0]; got.Header.Get("X-Api-Key") != "k" || got.Tenant != "t" {
+	if got := leaf.Arrivals()[0]; got.Header.Get(standin.KeyHeader) != "k" || got.Tenant != "t" {
 		t.Errorf("the leaf got %v", got.Header)
 	}
 }
--- a/test/untrusted/crowd_test.go
+++ b/test/untrusted/crowd_test.go
@@ -236,7 +236,7 @@
 	texts := []string{
 		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", "GET", "GET / HTTP/1.1\r\n", "\r\n\r\n\r\n\r\n",
 		get + "a\x00b: c\x00d\n\n", get + " a: b\n\n", get + "a\n\n", get + ": a\n\n",
-		get + strings.Repeat("Host: a\n", 1000) + "\n", get + strings.Repeat("X-Api-Key: a\n", 1000) + "\n",
+		get + strings.Repeat("Host: a\n", 1000) + "\n", get + strings.Repeat(standin.KeyHeader+": a\n", 1000) + "\n",
 		post + strings.Repeat("Content-Length: 1\n", 500) + "\na", post + "Content-Length: 1\nContent-Length: 2\n\na",
 		post + "Content-Length: -1\n\n", post + "Content-Length: 9223372036854775808\n\n", post + "Content-Length: 10\nTransfer-Encoding: chunked\n\n0\r\n\r\n",
 		post + "Transfer-Encoding: chunked\n\n" + strings.Repeat("f", 40) + "\r\n", post + "Transfer-Encoding: chunked\n\n0\r\n" + strings.Repeat("a:\r\n", 100_000),
