--- a/pkg/core/gateway/rollout/rewrite_test.go
+++ b/pkg/core/gateway/rollout/rewrite_test.go
@@ -35,8 +35,16 @@
 	if !got.Write || got.Acting != RolledBack || got.Era != 2 || got.Revision != 8 {
 		t.Errorf("write after the copy: %+v", got)
 	}
-	s.VerdictWritten(now.Add(time.Second), got.Order, RolledBack, Written)
-	if s.Attention() || s.Decide(now.Add(2*time.Second), Situation{}).Write {
+	// The operator writes the order again before the daemon's write arrives.
+	s.VerdictWritten(now.Add(time.Second), got.Order, RolledBack, Conflict)
+	copied.Revision = 10
+	s.SetOrder(now.Add(time.Second), &copied, 1)
+	got = s.Decide(now.Add(4*time.Second), Situation{})
+	if !got.Write || got.Revision != 10 {
+		t.Errorf("write after a conflict: %+v", got)
+	}
+	s.VerdictWritten(now.Add(4*time.Second), got.Order, RolledBack, Written)
+	if s.Attention() || s.Decide(now.Add(6*time.Second), Situation{}).Write {
 		t.Error("the verdict is written twice")
 	}
 }
--- a/pkg/core/gateway/rollout/rollout.go
+++ b/pkg/core/gateway/rollout/rollout.go
@@ -143,8 +143,9 @@
 		return s.withdraw()
 	}
 	if s.run != nil && s.run.id == o.ID() {
-		if o.Era > s.run.Era && s.run.Verdict != Undecided && o.Verdict == Undecided {
-			// The store came back from a copy that is older than the verdict.
+		if (o.Era > s.run.Era || s.run.rewrite) && s.run.Verdict != Undecided && o.Verdict == Undecided {
+			// The store came back from a copy that is older than the verdict. The object may
+			// change again before the verdict is written.
 			s.run.rewrite, s.run.Revision, s.run.Era = true, o.Revision, o.Era
 			s.run.nextWriteAt = now
 		}
