gateway: a lost verdict is written again without other changes of its service

After a copy of the store, the order was examined only if leafs or orders of the service changed as well; otherwise nobody wrote the verdict, and daemons that had restarted did not know it.

--- a/pkg/core/gateway/rollouts.go
+++ b/pkg/core/gateway/rollouts.go
@@ -97,6 +97,10 @@
 	before, _, _ := x.Order()
 	switch x.SetOrder(s.now, o, share) {
 	case rollout.Unchanged:
+		// The store may have lost a verdict, which is to be written again.
+		if x.Attention() {
+			s.rollouts.changed[service] = true
+		}
 		return
 	case rollout.Started:
 		s.emit(Log{Kind: LogRolloutStarted, Subject: service, Detail: o.Target, Duration: o.Duration})
