--- a/pkg/core/gateway/quota/quota.go
+++ b/pkg/core/gateway/quota/quota.go
@@ -98,15 +98,29 @@
 }
 
 // Fresh says that the daemon had no earlier process that could have served requests.
-func (s *State) Fresh() { s.spentUntil = 0 }
+func (s *State) Fresh() {
+	s.spentUntil = 0
+	s.forgetRetryTimes()
+}
 
 // SetHolding sets what this daemon holds from now on. It reports whether that has changed.
 func (s *State) SetHolding(h Holding) bool {
 	changed := s.holding != h
 	s.holding = h
+	if changed {
+		s.forgetRetryTimes()
+	}
 	return changed
 }
 
+// forgetRetryTimes drops the times at which refused requests were told to return: they were
+// given for another share, without one up to two windows ahead.
+func (s *State) forgetRetryTimes() {
+	for _, a := range s.accounts {
+		a.nextRetryAt = 0
+	}
+}
+
 // Holding returns what this daemon holds.
 func (s *State) Holding() Holding { return s.holding }
 
--- a/pkg/core/gateway/quota/quota_test.go
+++ b/pkg/core/gateway/quota/quota_test.go
@@ -347,3 +347,21 @@
 		s.Claims(at(10_000))
 	}
 }
+
+// Guards against times to return that were given while the daemon held no share and are
+// continued after it holds one: seen as a Retry-After of 10 s for a limit that frees a request
+// within 5 s.
+func TestRetryTimesFollowTheHolding(t *testing.T) {
+	s := New("a", testBounds, 0)
+	for i := range 10 {
+		if s.Admit(at(100*i), "t", testLimits).OK {
+			t.Fatal("admitted without a share")
+		}
+	}
+	s.Fresh()
+	s.SetHolding(Holding{Holders: 1})
+	admitAll(s, at(2000), testLimits)
+	if d := s.Admit(at(2100), "t", testLimits); d.OK || d.RetryAfter > testBounds.Window+s.slot() {
+		t.Errorf("%+v after the daemon holds a share", d)
+	}
+}
