review: the case of the directory becomes case 9

Cause: two graver effects of the fault of case 6 take the places 7 and 8. Change: the folder's name, its path in run.sh, the record of a run from there.

--- a/review/7/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
   echo "build the deploy file's program and review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review-drill -case directory -record review/7/record.txt
+exec target/review-drill -case directory -record review/9/record.txt
