review: case 7, requests reach a leaf that drains until it ends, and are lost with it

Cause: that of case 6: the three machines that watched the store have left, and count as living for 15 s, so that nobody watches it. Nothing is fixed.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the scripted cases by name.
-var cases = map[string]func(*stage) error{"watchers": watchersLeave, "directory": goneMachines}
+var cases = map[string]func(*stage) error{"watchers": watchersLeave, "directory": goneMachines, "leaf": leafDrains, "evacuation": zoneIsEvacuated}
 
 // playTime bounds a case; its processes are ended then.
 const playTime = 110 * time.Second
--- a/review/drill/stage.go
+++ b/review/drill/stage.go
@@ -68,19 +68,34 @@
 		network: fmt.Sprintf("127.%d.%d", 1+pid/250%250, pid%250), record: out,
 	}
 	s.server = httptest.NewServer(s.store)
-	for i := range s.ports {
-		// Ports are the same on all machines and below those of outgoing connections.
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", s.network, 21000+pid%5000+i))
-		if err != nil {
-			return nil, err
-		}
-		s.ports[i] = l.Addr().(*net.TCPAddr).Port
-		l.Close()
+	if err := s.choosePorts(21000 + pid%5000); err != nil {
+		return nil, err
 	}
 	s.note("trouble %v", trouble)
 	return s, nil
 }
 
+// choosePorts chooses free ports from the given one on. They are the same on all machines and
+// below those of outgoing connections.
+func (s *stage) choosePorts(from int) error {
+	port := from
+	for i := range s.ports {
+		for ; ; port++ {
+			if port >= from+500 {
+				return fmt.Errorf("no free ports from %d on", from)
+			}
+			l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", s.network, port))
+			if err == nil {
+				l.Close()
+				break
+			}
+		}
+		s.ports[i] = port
+		port++
+	}
+	return nil
+}
+
 // note writes a line of the record.
 func (s *stage) note(format string, args ...any) {
 	s.mu.Lock()
--- a/review/drill/watchers.go
+++ b/review/drill/watchers.go
@@ -38,42 +38,10 @@
 	if err := s.startAll(14 * time.Second); err != nil {
 		return err
 	}
-	var watchers, others []*daemon
-	for _, d := range s.daemons {
-		st, err := s.status(d)
-		if err != nil {
-			return err
-		}
-		if st.Status.Watcher {
-			watchers = append(watchers, d)
-			s.note("%s (%s, %g cores) watches the store", d.name, d.zone, d.cores)
-		} else {
-			others = append(others, d)
-		}
-	}
-	for i, d := range others {
-		if code, _ := s.ask(d, "GET", host, "/stays/x", fmt.Sprintf("before-%d", i), 2*time.Second); code != 200 {
-			return fmt.Errorf("%s answered %d before the trouble", d.name, code)
-		}
-	}
-	if s.trouble {
-		for _, d := range watchers {
-			s.note("SIGTERM for %s, which is removed", d.name)
-			_ = d.cmd.Process.Signal(syscall.SIGTERM)
-		}
-		for _, d := range watchers {
-			select {
-			case <-d.exited:
-				s.note("%s has ended", d.name)
-			case <-time.After(grace):
-				s.note("SIGKILL for %s", d.name)
-				_ = d.cmd.Process.Kill()
-			}
-		}
-	} else {
-		time.Sleep(grace)
+	others, err := s.removeWatchers()
+	if err != nil {
+		return err
 	}
-	time.Sleep(500 * time.Millisecond)
 	s.store.PutConfig(routesOf(2, map[string]string{"/stays/": "one", "/moved/": "two", "/added/": "two"}))
 	acknowledged := time.Now()
 	s.note("version 2 is acknowledged: /dropped/ is gone, /moved/ goes to service two, /added/ is new")
@@ -155,3 +123,45 @@
 		}
 	}
 }
+
+// removeWatchers removes the machines that watch the store, in a planned way, and returns the
+// others half a second after the last of them has ended.
+func (s *stage) removeWatchers() ([]*daemon, error) {
+	var watchers, others []*daemon
+	for _, d := range s.daemons {
+		st, err := s.status(d)
+		if err != nil {
+			return nil, err
+		}
+		if st.Status.Watcher {
+			watchers = append(watchers, d)
+			s.note("%s (%s, %g cores) watches the store", d.name, d.zone, d.cores)
+		} else {
+			others = append(others, d)
+		}
+	}
+	for i, d := range others {
+		if code, _ := s.ask(d, "GET", host, "/stays/x", fmt.Sprintf("before-%d", i), 2*time.Second); code != 200 {
+			return nil, fmt.Errorf("%s answered %d before the trouble", d.name, code)
+		}
+	}
+	if s.trouble {
+		for _, d := range watchers {
+			s.note("SIGTERM for %s, which is removed", d.name)
+			_ = d.cmd.Process.Signal(syscall.SIGTERM)
+		}
+		for _, d := range watchers {
+			select {
+			case <-d.exited:
+				s.note("%s has ended", d.name)
+			case <-time.After(grace):
+				s.note("SIGKILL for %s", d.name)
+				_ = d.cmd.Process.Kill()
+			}
+		}
+	} else {
+		time.Sleep(grace)
+	}
+	time.Sleep(500 * time.Millisecond)
+	return others, nil
+}
