edge: log the daemons taken for the watchers of the store

A fleet whose configuration, evacuations or leafs are out of date could not be told from its logs: nobody watches the store, or the change is not passed on. Each daemon now logs at every change whom it takes for the watchers (edge_watchers_changed).

--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -293,6 +293,7 @@
 	LogDomainReturned
 	LogDaemonSeen
 	LogDaemonSilent
+	LogWatchersChanged
 	LogStoreLost
 	LogStoreRegained
 	LogStopStarted
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -177,6 +177,8 @@
 	writerTurn int
 	// watcher means that this daemon watches the store.
 	watcher bool
+	// watchersLogged are the names of the watchers of the store that were logged last.
+	watchersLogged string
 	// viewConfirmed means that a view was fetched after confirmAfter.
 	viewConfirmed bool
 	// eraSeenAt is when the latest era of the store became known.
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -287,7 +288,8 @@
 
 // updateWatcher decides whether this daemon watches the store.
 func (s *State) updateWatcher() {
-	place, _ := s.StoreRank()
+	order := s.storeOrder()
+	place := slices.IndexFunc(order, func(e DaemonEntry) bool { return e.Name == s.opt.Self.Name })
 	watcher := place < maxWatchers
 	if s.now < model.Time(watcherStartDelay) && !s.opt.IsSeed {
 		watcher = false
@@ -301,6 +303,26 @@
 		s.members.watcher = watcher
 		s.emit(WatchStore{On: watcher})
 	}
+	s.logWatchers(order[:min(len(order), maxWatchers)])
+}
+
+// logWatchers logs the daemons that this one takes for the watchers of the store when they
+// change.
+func (s *State) logWatchers(watchers []DaemonEntry) {
+	names := make([]string, len(watchers))
+	for i, e := range watchers {
+		names[i] = e.Name
+	}
+	known := strings.Join(names, ",")
+	if known == s.members.watchersLogged {
+		return
+	}
+	s.members.watchersLogged = known
+	entry := Log{Kind: LogWatchersChanged, Detail: known}
+	if s.members.watcher {
+		entry.Number = 1
+	}
+	s.emit(entry)
 }
 
 // WatcherCount returns the number of living daemons that watch the store.
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -41,6 +41,7 @@
 	gateway.LogDomainReturned:   logevent.EdgeDomainReturned,
 	gateway.LogDaemonSeen:       logevent.EdgeDaemonSeen,
 	gateway.LogDaemonSilent:     logevent.EdgeDaemonSilent,
+	gateway.LogWatchersChanged:  logevent.EdgeWatchersChanged,
 	gateway.LogStoreLost:        logevent.EdgeStoreLost,
 	gateway.LogStoreRegained:    logevent.EdgeStoreRegained,
 	gateway.LogStoreCopied:      logevent.EdgeStoreCopied,
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -33,6 +33,7 @@
 	EdgeStoreCopied      ID = 1746
 	EdgeEvacuationHeld   ID = 1747
 	EdgeExplained        ID = 1748
+	EdgeWatchersChanged  ID = 1749
 	EdgePanic            ID = 1750
 	EdgeListenerError    ID = 1751
 	EdgeClientRefused    ID = 1752
@@ -86,6 +87,7 @@
 	{EdgeStoreCopied, "edge_store_copied", log.WarnLevel, "The store names a new era: it came back from a copy and may lack its last writes. All kinds are listed again; what was in force stays in force."},
 	{EdgeEvacuationHeld, "edge_evacuation_held", log.WarnLevel, "The store no longer shows an evacuation since it came back from a copy. It stays in force until the operator's next word, two minutes at most."},
 	{EdgeExplained, "edge_explained", log.InfoLevel, "An operator asked how a request would be handled; no request was sent. No decisions were made for elapsed_us, while the state was copied."},
+	{EdgeWatchersChanged, "edge_watchers_changed", log.InfoLevel, "The daemons in detail are those that this one takes for the watchers of the store; number is 1 if it is one of them."},
 	{EdgePanic, "edge_panic", log.ErrorLevel, "The handling of one event, message or answer panicked; where names it, error has the stack. The daemon continues."},
 	{EdgeTenantsChanged, "edge_tenants_changed", log.InfoLevel, "The tenants of a new configuration are in force; number counts them, detail the keys that were added, removed, or given to another tenant."},
 	{EdgeKeysRevoked, "edge_keys_revoked", log.WarnLevel, "Keys were removed while requests with them waited; number counts the requests, which are refused or get no further attempt."},
