edge: watchers of the store say that they watch, and are replaced in time

Cause: each daemon computes who watches the store from those that it takes for living. In fleets in which entries are passed on, that takes 15 s to end for a daemon that callers are not sent to, an entry counts from its arrival whatever its age, and nobody says that it watches. When the watchers left, nobody watched.

Change: a daemon that watches says so in its entry; while no claim is heard, only daemons heard since are candidates. Entries carry their age and roles need recent ones; entries of daemons with a role, and of those next in line, are passed on first. Daemons that leave come last in the order and watch until they end.

--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -37,39 +37,51 @@
 // few daemons only. Larger VMs come first, and failure domains take turns, those with
 // the most leafs first.
 func (s *State) active(regions []string) []DaemonEntry {
+	chosen, _ := s.activeAndSpare(regions)
+	return chosen
+}
+
+// activeAndSpare returns the active daemons and those next in line.
+func (s *State) activeAndSpare(regions []string) (chosen, spare []DaemonEntry) {
 	var byClass [sizeClasses]map[string][]DaemonEntry
 	calls := 0
 	for _, e := range s.readyDaemons() {
 		if regions == nil || slices.Contains(regions, s.opt.RegionOf[e.FailureDomain]) {
+			calls += e.CallsPerSecond
 			class := sizeClass(e)
 			if byClass[class] == nil {
 				byClass[class] = map[string][]DaemonEntry{}
 			}
 			byClass[class][e.FailureDomain] = append(byClass[class][e.FailureDomain], e)
-			calls += e.CallsPerSecond
 		}
 	}
-	var out []DaemonEntry
+	enough := false
 	for class, byDomain := range slices.Backward(byClass[:]) {
 		for _, list := range byDomain {
 			slices.SortFunc(list, compareByHash)
 		}
 		order := s.domainOrder(byDomain)
-		for turn, before := 0, -1; len(out) > before; turn++ {
-			before = len(out)
+		for turn, more := 0, true; more; turn++ {
+			more = false
 			for _, domain := range order {
 				list := byDomain[domain]
 				if turn >= len(list) {
 					continue
 				}
-				if enoughActive(out, class, calls) {
-					return out
+				more = true
+				enough = enough || enoughActive(chosen, class, calls)
+				switch {
+				case !enough:
+					chosen = append(chosen, list[turn])
+				case len(spare) < spareActive:
+					spare = append(spare, list[turn])
+				case enough:
+					return chosen, spare
 				}
-				out = append(out, list[turn])
 			}
 		}
 	}
-	return out
+	return chosen, spare
 }
 
 // enoughActive reports whether callers need no daemons beyond those chosen, if the next
@@ -152,7 +164,7 @@
 // quotas that all daemons divide among themselves: retries, connections to a leaf, and
 // requests to a cold leaf.
 func (s *State) updateActive() {
-	active := s.active(nil)
+	active, spare := s.activeAndSpare(nil)
 	s.members.quotaShare = s.quotaShareOf(s.opt.Self.Name, active)
 	names := make(map[string]bool, len(active))
 	s.members.writerTurn = lateWriterTurn
@@ -170,11 +182,9 @@
 		s.members.writerTurn = min(turn, lateWriterTurn)
 	}
 	for name, d := range s.daemons {
-		if names[name] && !d.active {
-			d.activeSince = s.now
-		}
 		d.active = names[name]
 	}
+	s.relayFirst(append(active, spare...))
 }
 
 // quotaShareOf returns a daemon's share of the quotas, given the active daemons.
--- a/pkg/core/gateway/active_test.go
+++ b/pkg/core/gateway/active_test.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// activeAndNext returns the daemons that callers are sent to and those next in line.
+func activeAndNext(h *harness) []DaemonEntry {
+	chosen, spare := h.s.activeAndSpare(nil)
+	return append(chosen, spare...)
+}
+
 // Guards against a large fleet in which callers are sent to a daemon that is gone, or
 // in which the active daemons change because other daemons are heard of rarely.
 func TestActiveDaemonsStayUntilSilent(t *testing.T) {
@@ -68,10 +74,10 @@
 	before := h.s.Directory("h", "")
 	counter := uint64(3)
 	for range 12 {
-		// Only the active daemons are heard often, since gossip sends their entries
-		// first.
+		// Only the active daemons and those next in line are heard often, since gossip
+		// sends their entries first.
 		var entries []DaemonEntry
-		for _, e := range h.s.active(nil) {
+		for _, e := range activeAndNext(h) {
 			e.Counter = counter
 			entries = append(entries, e)
 		}
@@ -88,7 +94,7 @@
 	}
 	for range 8 {
 		var entries []DaemonEntry
-		for _, e := range h.s.active(nil) {
+		for _, e := range activeAndNext(h) {
 			if e.Name != gone.Name {
 				e.Counter = counter
 				entries = append(entries, e)
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -271,10 +271,12 @@
 type Status struct {
 	ConfigVersion uint64
 	// ViewAge is for how long the list of leafs has not been confirmed.
-	ViewAge   time.Duration
-	View      ViewRevisions
-	Ready     bool
-	Watcher   bool
+	ViewAge time.Duration
+	View    ViewRevisions
+	Ready   bool
+	Watcher bool
+	// WatchAge is how long ago a daemon last told that it watches the store.
+	WatchAge  time.Duration
 	StoreDown bool
 	// StoreEra is the latest known era of the store, HeldEvacuations the number of
 	// evacuations in force that it no longer shows.
@@ -314,10 +316,10 @@
 
 // Status returns the values for metrics.
 func (s *State) Status() Status {
-	_, daemons := s.StoreRank()
+	daemons := len(s.storeOrderOf(s.alive))
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
-		Watcher: s.members.watcher, StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
+		Watcher: s.members.watcher, WatchAge: s.WatchAge(), StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
 	for _, srv := range s.servers {
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -10,6 +10,7 @@
 )
 
 func (s *State) gossipReceived(e GossipReceived) {
+	s.noteRelays(e.Daemons)
 	for _, entry := range e.Daemons {
 		s.mergeEntry(entry, true)
 	}
@@ -39,7 +40,7 @@
 		s.daemons[e.Name] = d
 		s.emit(Log{Kind: LogDaemonSeen, Subject: e.Name, Detail: e.FailureDomain})
 		if fromGossip {
-			s.markHeard(d)
+			s.markHeard(d, e.Age)
 		}
 		s.members.fullGossipPending = true
 		return d
@@ -64,23 +65,11 @@
 	}
 	d.DaemonEntry = e
 	if fromGossip {
-		s.markHeard(d)
+		s.markHeard(d, e.Age)
 	}
 	return d
 }
 
-// markHeard records a sign of life of a daemon.
-func (s *State) markHeard(d *daemon) {
-	d.heardAt = s.now
-	if d.StoreDown {
-		s.members.peerOutageAt = s.now
-	}
-	if d.silent {
-		d.silent = false
-		s.emit(Log{Kind: LogDaemonSeen, Subject: d.Name, Detail: d.FailureDomain})
-	}
-}
-
 // raiseIncarnation makes this daemon's incarnation greater than the one that others
 // know for its name.
 func (s *State) raiseIncarnation(known DaemonEntry) {
@@ -130,6 +119,20 @@
 	s.confirmView()
 	s.refreshView()
 	s.emitGossip(s.gossipTargets(), s.gossipEntries(), s.ownSections())
+	s.tellOfWatch()
+}
+
+// tellOfWatch sends the entry of a daemon that watches the store in a large fleet to more
+// daemons, so that all hear it before they expect another one to watch.
+func (s *State) tellOfWatch() {
+	if !s.members.watcher || !s.largeFleet() {
+		return
+	}
+	var others []string
+	for _, name := range s.daemonNames() {
+		others = append(others, s.daemons[name].PeerAddress)
+	}
+	s.emitGossip(s.randomSample(others, watcherGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
 }
 
 // nextGossipTime returns when the next message is due.
@@ -188,7 +191,8 @@
 }
 
 // gossipEntries returns this daemon's entry and, if its messages do not go to all
-// daemons, those of the active daemons and of others that were heard last.
+// daemons, those of daemons that watch the store, then of others with a role or next in
+// line for one, then of those that were heard last.
 func (s *State) gossipEntries() []DaemonEntry {
 	if !s.largeFleet() {
 		return []DaemonEntry{s.self()}
@@ -199,18 +203,23 @@
 			known = append(known, d)
 		}
 	}
-	activeFirst := func(d *daemon) int {
-		if d.active {
+	class := func(d *daemon) int {
+		switch {
+		case d.relayedFirst && d.Watching:
 			return 0
+		case d.relayedFirst:
+			return 1
 		}
-		return 1
+		return 2
 	}
 	slices.SortFunc(known, func(a, b *daemon) int {
-		return cmp.Or(cmp.Compare(activeFirst(a), activeFirst(b)), cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
 	})
 	out := []DaemonEntry{s.self()}
 	for _, d := range known[:min(len(known), maxGossipEntries)] {
-		out = append(out, d.WithoutStoredFields())
+		entry := d.WithoutStoredFields()
+		entry.Age = s.now.Sub(d.toldAt)
+		out = append(out, entry)
 	}
 	return out
 }
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -21,13 +21,16 @@
 	// daemon's failure domain and in others, that get a message in large fleets.
 	nearGossipTargets = 2
 	farGossipTargets  = 1
+	// watcherGossipTargets is the number of further daemons that get the entry of one that
+	// watches the store, in large fleets.
+	watcherGossipTargets = 8
 	// maxGossipEntries is the number of other daemons that a message describes in large
-	// fleets, the active ones first.
-	maxGossipEntries = 18
+	// fleets, those with a role first.
+	maxGossipEntries = 20
 	// largeGossipInterval replaces gossipInterval in large fleets.
 	largeGossipInterval = 500 * time.Millisecond
-	// inactiveSilence is how long a daemon that callers are not sent to may be silent
-	// in a large fleet, where its entry is passed on rarely.
+	// inactiveSilence is how long a daemon without a role may be silent in a large fleet,
+	// where its entry is passed on rarely.
 	inactiveSilence = 15 * time.Second
 	// extraRelaySilence is added to Options.MaxSilence in large fleets, where entries
 	// arrive by way of other daemons.
@@ -45,6 +48,11 @@
 	// maxWatchers is the number of daemons that watch the store. The others learn from
 	// them, so that the number of calls to the store does not grow with the fleet.
 	maxWatchers = 3
+	// spareWatchers is the number of daemons next in line to watch the store, and
+	// spareActive of those to be active, whose entries are passed on like those of daemons
+	// with a role.
+	spareWatchers = 3
+	spareActive   = 3
 	// watcherStartDelay is how long a daemon that has just started waits to hear others
 	// before it may watch the store. Seeds do not wait.
 	watcherStartDelay = 1200 * time.Millisecond
@@ -95,6 +103,10 @@
 	View ViewRevisions `json:"view"`
 	// StoreDown means that the daemon's calls to the store fail.
 	StoreDown bool `json:"storeDown"`
+	// Watching means that the daemon watches the store and its calls to the store work.
+	Watching bool `json:"watching,omitempty"`
+	// Age is the time since the daemon itself told this entry, if it came by way of others.
+	Age time.Duration `json:"age,omitempty"`
 	// Cores is the CPU time that the daemon may use, in cores.
 	Cores float64 `json:"cores"`
 	// CallsPerSecond is the recent rate of attempts that the daemon sends.
@@ -116,8 +128,9 @@
 // daemon is what this daemon knows about another one.
 type daemon struct {
 	DaemonEntry
-	// heardAt is when its counter last increased; 0 if it never did.
-	heardAt model.Time
+	// heardAt is when its counter last increased; 0 if it never did. toldAt is when the
+	// daemon itself told the latest entry, which may have come by way of others.
+	heardAt, toldAt model.Time
 	// listed means that the store's list contained its entry.
 	listed bool
 	// keptSince is when the store came back from a copy without its entry; 0 if it has
@@ -134,9 +147,15 @@
 	fetchingSince, fetchFailedAt model.Time
 	// fetched has the revisions that the daemon had told of when its view was fetched.
 	fetched ViewRevisions
-	// active means that callers have been sent to it since activeSince.
-	active      bool
-	activeSince model.Time
+	// active means that callers are sent to it.
+	active bool
+	// relayedFirst means that daemons pass its entry on first since relayedSince, because it
+	// has a role in the fleet or is next in line for one.
+	relayedFirst bool
+	relayedSince model.Time
+	// responsive means that the daemon has told of itself recently, or had, and its entry was
+	// renewed often enough since.
+	responsive bool
 	// sections are what it last told about its own requests.
 	sections receivedSections
 }
@@ -158,6 +177,9 @@
 	view ViewRevisions
 	// peerOutageAt is when another daemon last reported that it cannot reach the store.
 	peerOutageAt model.Time
+	// relayedAt is when an entry of a third daemon last came by way of another; 0 if none
+	// did.
+	relayedAt model.Time
 	// behindSince is when another daemon was first known to have seen a change that this
 	// one has not; 0 if there is none. refreshed has the revisions up to which the store
 	// has been read again for that reason.
@@ -177,8 +199,8 @@
 	writerTurn int
 	// watcher means that this daemon watches the store.
 	watcher bool
-	// watchersLogged are the names of the watchers of the store that were logged last.
-	watchersLogged string
+	// watchersLogged is the last log entry about the watchers of the store.
+	watchersLogged Log
 	// viewConfirmed means that a view was fetched after confirmAfter.
 	viewConfirmed bool
 	// eraSeenAt is when the latest era of the store became known.
@@ -200,6 +222,7 @@
 	e.View = s.members.view
 	e.StoreDown = s.storeDown
 	e.CallsPerSecond = s.members.callsPerSecond
+	e.Watching = s.members.watcher && !s.storeDown
 	switch {
 	case s.stopping:
 		e.State = DaemonLeaving
@@ -250,27 +273,13 @@
 // do not depend on the iteration order of a map.
 func (s *State) daemonNames() []string { return slices.Sorted(maps.Keys(s.daemons)) }
 
-// alive reports whether a daemon has been heard recently enough to count as running.
-func (s *State) alive(d *daemon) bool {
-	silence := s.opt.MaxSilence
-	since := d.heardAt
-	switch {
-	case !s.largeFleet():
-	case d.active:
-		silence += extraRelaySilence
-		since = max(since, d.activeSince)
-	default:
-		silence = inactiveSilence
-	}
-	return d.heardAt > 0 && !d.silent && s.now.Sub(since) < silence
-}
-
 // checkSilentDaemons marks and logs daemons that have become silent. The first living
 // daemon by name also deletes the entries of those that have been silent for
 // daemonRetention.
 func (s *State) checkSilentDaemons() {
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
+		d.responsive = s.isResponsive(d)
 		if !d.silent && d.heardAt > 0 && !s.alive(d) {
 			d.silent = true
 			s.emit(Log{Kind: LogDaemonSilent, Subject: d.Name, Detail: d.FailureDomain, Duration: s.now.Sub(d.heardAt)})
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
@@ -122,7 +121,7 @@
 func (s *State) fetchFromOldest() {
 	var known []*daemon
 	for _, name := range s.daemonNames() {
-		if d := s.daemons[name]; s.alive(d) && !s.fetchFails(d) && d.View.Era >= s.storeEra {
+		if d := s.daemons[name]; s.isResponsive(d) && !s.fetchFails(d) && d.View.Era >= s.storeEra {
 			known = append(known, d)
 		}
 	}
@@ -215,9 +214,9 @@
 
 // betterView reports whether a's view is better to fetch than b's, both being newer
 // than this daemon's: one outside of the domains from which a fetch failed, then one whose
-// own fetch did not fail, then the nearer one, then the newer one. A daemon that cannot
-// reach the store does not count as near, since it may hold leafs and configurations that
-// were withdrawn long ago.
+// own fetch did not fail, then a responsive one, then the nearer one, then the newer one. A
+// daemon that cannot reach the store does not count as near, since it may hold leafs and
+// configurations that were withdrawn long ago.
 func (s *State) betterView(a, b *daemon, failedDomains map[string]bool) bool {
 	canFetch := func(d *daemon) int {
 		switch {
@@ -228,6 +227,12 @@
 		}
 		return 0
 	}
+	responsive := func(d *daemon) int {
+		if s.isResponsive(d) {
+			return 1
+		}
+		return 0
+	}
 	near := func(d *daemon) int {
 		if d.FailureDomain == s.opt.Self.FailureDomain && !d.StoreDown {
 			return 1
@@ -235,7 +240,7 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
+		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(responsive(a), responsive(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
 		cmp.Compare(a.View.Era, b.View.Era),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
 		cmp.Compare(a.View.Rollouts, b.View.Rollouts),
@@ -258,75 +263,3 @@
 	}
 	return best
 }
-
-// storeOrder returns the living daemons that reach the store, this one included. Failure
-// domains take turns, so that the first daemons, which watch the store, are in as many
-// domains as there are; within a domain daemons are ordered by a hash of the name.
-func (s *State) storeOrder() []DaemonEntry {
-	order := []DaemonEntry{s.opt.Self}
-	for _, d := range s.daemons {
-		if s.alive(d) && !d.StoreDown {
-			order = append(order, d.DaemonEntry)
-		}
-	}
-	slices.SortFunc(order, compareByHash)
-	turns, turnOf := map[string]int{}, make(map[string]int, len(order))
-	for _, e := range order {
-		turnOf[e.Name] = turns[e.FailureDomain]
-		turns[e.FailureDomain]++
-	}
-	slices.SortStableFunc(order, func(a, b DaemonEntry) int { return cmp.Compare(turnOf[a.Name], turnOf[b.Name]) })
-	return order
-}
-
-// StoreRank returns this daemon's place, from 0, among the living daemons that reach the
-// store in storeOrder, and the number of these.
-func (s *State) StoreRank() (place, count int) {
-	order := s.storeOrder()
-	return slices.IndexFunc(order, func(e DaemonEntry) bool { return e.Name == s.opt.Self.Name }), len(order)
-}
-
-// updateWatcher decides whether this daemon watches the store.
-func (s *State) updateWatcher() {
-	order := s.storeOrder()
-	place := slices.IndexFunc(order, func(e DaemonEntry) bool { return e.Name == s.opt.Self.Name })
-	watcher := place < maxWatchers
-	if s.now < model.Time(watcherStartDelay) && !s.opt.IsSeed {
-		watcher = false
-	}
-	if !watcher {
-		// A daemon that does not call the store cannot tell from earlier failures
-		// whether the store is down now.
-		s.storeDown = false
-	}
-	if watcher != s.members.watcher {
-		s.members.watcher = watcher
-		s.emit(WatchStore{On: watcher})
-	}
-	s.logWatchers(order[:min(len(order), maxWatchers)])
-}
-
-// logWatchers logs the daemons that this one takes for the watchers of the store when they
-// change.
-func (s *State) logWatchers(watchers []DaemonEntry) {
-	names := make([]string, len(watchers))
-	for i, e := range watchers {
-		names[i] = e.Name
-	}
-	known := strings.Join(names, ",")
-	if known == s.members.watchersLogged {
-		return
-	}
-	s.members.watchersLogged = known
-	entry := Log{Kind: LogWatchersChanged, Detail: known}
-	if s.members.watcher {
-		entry.Number = 1
-	}
-	s.emit(entry)
-}
-
-// WatcherCount returns the number of living daemons that watch the store.
-func (s *State) WatcherCount() int {
-	_, count := s.StoreRank()
-	return min(count, maxWatchers)
-}
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -21,6 +22,7 @@
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
 			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
 			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations, StoreEra: e.View.Era, RolloutsRevision: e.View.Rollouts,
+			WatchesStore: e.Watching, AgeMs: uint32(min(max(0, e.Age.Milliseconds()), math.MaxUint32)),
 			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
 		}
 	}
@@ -43,6 +45,7 @@
 			Name: d.GetName(), Incarnation: d.GetIncarnation(), Counter: d.GetCounter(),
 			CallerAddress: d.GetCallerAddress(), PeerAddress: d.GetPeerAddress(), FailureDomain: d.GetFailureDomain(),
 			State: decodeState(d.GetState()), ConfigVersion: d.GetConfigVersion(), View: decodeRevisions(d), StoreDown: d.GetStoreDown(),
+			Watching: d.GetWatchesStore(), Age: time.Duration(d.GetAgeMs()) * time.Millisecond,
 			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
 		}
 		if err := validateEntry(entries[i]); err != nil {
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -26,9 +26,13 @@
 	// touch may still act on what was before; contact is how long a daemon runs before it
 	// counts as in touch.
 	drainBound, evacuateBound, contact time.Duration
+	// maxSilence is that of the daemons' options.
+	maxSilence time.Duration
 	// oneWay, if set, reports whether connections to a daemon fail although its datagrams
 	// arrive.
 	oneWay atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
+	// isCut, if set, reports whether nothing passes between two daemons.
+	isCut atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
 	// sequence is that of the last write of a leaf.
 	sequence uint64
 	// silentCopies makes running watches break off silently when the store comes back from
@@ -44,6 +48,8 @@
 	entry gateway.DaemonEntry
 	seed  bool
 	run   atomic.Pointer[modelRun]
+	// gossipBytes is the size of the gossip that it has sent.
+	gossipBytes atomic.Int64
 }
 
 // modelRun is one process of a daemon. It implements PeerLink.
@@ -65,15 +71,27 @@
 
 // newModelFleetOfEra is newModelFleet with a store that names its era.
 func newModelFleetOfEra(t *testing.T, size int, era uint64) *modelFleet {
-	f := &modelFleet{t: t, store: newModelStore(), byPeer: map[string]*modelDaemon{}, drainBound: 3 * time.Second, evacuateBound: 5 * time.Second, contact: 4 * time.Second}
-	f.store.era = era
+	f := newModelDeployment(t, era)
 	if size > 60 {
 		f.drainBound, f.contact = 6*time.Second, 6*time.Second
 	}
+	f.startFleet(size)
+	return f
+}
+
+// newModelDeployment returns a fleet without daemons, with the bounds of a small one.
+func newModelDeployment(t *testing.T, era uint64) *modelFleet {
+	f := &modelFleet{t: t, store: newModelStore(), byPeer: map[string]*modelDaemon{}, drainBound: 3 * time.Second, evacuateBound: 5 * time.Second, contact: 4 * time.Second, maxSilence: 1200 * time.Millisecond}
+	f.store.era = era
 	f.store.put(KindConfig, configName, gateway.Config{Version: 7})
 	for i := range 24 {
 		f.putLeaf(i, false)
 	}
+	return f
+}
+
+// startFleet starts the daemons and waits until the fleet is calm.
+func (f *modelFleet) startFleet(size int) {
 	for i := range size {
 		domain := modelDomains[i%len(modelDomains)]
 		d := &modelDaemon{fleet: f, seed: i < 3, entry: gateway.DaemonEntry{
@@ -86,7 +104,7 @@
 	for _, d := range f.daemons {
 		d.start()
 	}
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		for _, d := range f.daemons {
 			d.kill()
 		}
@@ -94,13 +112,21 @@
 		time.Sleep(callTimeout + watchGrace)
 	})
 	time.Sleep(10 * time.Second)
-	return f
 }
 
 func leafName(i int) string { return fmt.Sprintf("i-%02d", i) }
 
+// cut reports whether nothing passes between two daemons.
+func (f *modelFleet) cut(to, from gateway.DaemonEntry) bool {
+	isCut := f.isCut.Load()
+	return isCut != nil && (*isCut)(to, from)
+}
+
 // unreachable reports whether connections to a daemon fail.
 func (f *modelFleet) unreachable(to, from gateway.DaemonEntry) bool {
+	if f.cut(to, from) {
+		return true
+	}
 	oneWay := f.oneWay.Load()
 	return oneWay != nil && (*oneWay)(to, from)
 }
@@ -123,14 +149,14 @@
 		regions[domain] = "slavonija"
 	}
 	var seeds []string
-	for _, other := range d.fleet.daemons[:3] {
+	for _, other := range d.fleet.daemons[:min(3, len(d.fleet.daemons))] {
 		seeds = append(seeds, other.entry.PeerAddress)
 	}
 	run := &modelRun{daemon: d, cancel: cancel, startedAt: time.Now()}
 	onPanic := func(where string, err error) { d.fleet.t.Errorf("%s: %v", where, err) }
 	run.runtime = New(Config{
 		Core: gateway.New(gateway.Options{
-			Self: self, RegionOf: regions, RetryRatio: 0.2, RetrySlack: 40, MaxSilence: 1200 * time.Millisecond, Seed: rand.Uint64(), Seeds: seeds, IsSeed: d.seed,
+			Self: self, RegionOf: regions, RetryRatio: 0.2, RetrySlack: 40, MaxSilence: d.fleet.maxSilence, Seed: rand.Uint64(), Seeds: seeds, IsSeed: d.seed,
 			Rollout: d.fleet.rolloutLimits,
 		}),
 		Pool: leafconn.NewPool(nil, leafconn.NewBudget(1<<20)), Log: func(gateway.Log) {}, OnLimits: func(gateway.Limits) {}, OnPanic: onPanic,
@@ -184,8 +210,12 @@
 	if r.daemon.run.Load() != r {
 		return
 	}
+	r.daemon.gossipBytes.Add(int64(len(data) * len(to)))
 	for _, address := range to {
 		target := r.daemon.fleet.byPeer[address]
+		if r.daemon.fleet.cut(target.entry, r.daemon.entry) {
+			continue
+		}
 		time.AfterFunc(peerDelay, func() {
 			decoded, err := decodeGossip(data)
 			if err != nil {
@@ -271,19 +301,28 @@
 	return out
 }
 
-// watchingDomains returns the failure domains with a daemon that watches the store.
-func (f *modelFleet) watchingDomains() map[string]bool {
-	out := map[string]bool{}
+// watchers returns the daemons that watch the store.
+func (f *modelFleet) watchers() []*modelDaemon {
+	var out []*modelDaemon
 	for _, run := range f.inTouch() {
 		run.runtime.Inspect(func(s *gateway.State) {
 			if s.Status().Watcher {
-				out[run.daemon.entry.FailureDomain] = true
+				out = append(out, run.daemon)
 			}
 		})
 	}
 	return out
 }
 
+// watchingDomains returns the failure domains with a daemon that watches the store.
+func (f *modelFleet) watchingDomains() map[string]bool {
+	out := map[string]bool{}
+	for _, d := range f.watchers() {
+		out[d.entry.FailureDomain] = true
+	}
+	return out
+}
+
 // checkUnused reports daemons in touch that would send requests to a leaf that unused
 // accepts.
 func (f *modelFleet) checkUnused(what string, unused func(gateway.LeafStatus) bool) {
