edge: the directory names responsive daemons only

Cause: a daemon that callers are not sent to counts as living for 15 s. It took the place of one that was lost, and kept it for another 3 s; entries passed on late prolonged that.

Change: only responsive daemons are named, and a place is lost when a daemon has told nothing for twice roleSilence, however often old entries of it arrive.

--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -41,7 +41,7 @@
 	return chosen
 }
 
-// activeAndSpare returns the active daemons and those next in line.
+// activeAndSpare returns the active daemons, all of them responsive, and those next in line.
 func (s *State) activeAndSpare(regions []string) (chosen, spare []DaemonEntry) {
 	var byClass [sizeClasses]map[string][]DaemonEntry
 	calls := 0
@@ -71,7 +71,7 @@
 				more = true
 				enough = enough || enoughActive(chosen, class, calls)
 				switch {
-				case !enough:
+				case !enough && s.isResponsiveEntry(list[turn]):
 					chosen = append(chosen, list[turn])
 				case len(spare) < spareActive:
 					spare = append(spare, list[turn])
@@ -84,6 +84,12 @@
 	return chosen, spare
 }
 
+// isResponsiveEntry reports whether an entry is that of this daemon or of a responsive one.
+func (s *State) isResponsiveEntry(e DaemonEntry) bool {
+	d, ok := s.daemons[e.Name]
+	return !ok || s.isResponsive(d)
+}
+
 // enoughActive reports whether callers need no daemons beyond those chosen, if the next
 // one is of nextClass. Callers use all addresses equally often, so the weakest VM
 // determines the capacity. A daemon on a VM weaker than all others would be late with
--- a/pkg/core/gateway/liveness.go
+++ b/pkg/core/gateway/liveness.go
@@ -23,10 +23,11 @@
 
 // isResponsive reports whether a daemon may have a role: it has told of itself recently, or
 // had, and its entry was renewed often enough since. Without the second condition a daemon
-// would lose its role whenever its entry takes long to arrive.
+// would lose its role whenever its entry takes long to arrive. It ends, however often the
+// entry is renewed, when the daemon has told nothing for twice as long.
 func (s *State) isResponsive(d *daemon) bool {
 	silence := s.roleSilence()
-	kept := d.responsive && d.relayedFirst && !d.silent && s.now.Sub(d.heardAt) < silence
+	kept := d.responsive && d.relayedFirst && s.now.Sub(d.heardAt) < silence && s.toldWithin(d, 2*silence)
 	return kept || s.toldWithin(d, silence)
 }
 
--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -71,7 +71,8 @@
 }
 
 // checkChanges writes a configuration, an evacuation and a leaf's report and reports daemons
-// in touch that do not know them in time.
+// in touch that do not know them in time, and those that send callers to a daemon that has
+// ended.
 func (f *modelFleet) checkChanges(what string) {
 	f.t.Helper()
 	changed := time.Now()
@@ -82,6 +83,36 @@
 	f.checkVersion(what, 8)
 	f.checkEvacuated(what, "osijek-b")
 	f.checkLeafUnused(what, 3)
+	sleepUntil(changed, f.contact+3*time.Second)
+	f.checkDirectory(what)
+}
+
+// checkDirectory reports daemons in touch that send callers to one that has ended.
+func (f *modelFleet) checkDirectory(what string) {
+	f.t.Helper()
+	ended := map[string]bool{}
+	for _, d := range f.daemons {
+		ended[d.entry.CallerAddress] = d.run.Load() == nil
+	}
+	for _, run := range f.inTouch() {
+		run.runtime.Inspect(func(s *gateway.State) {
+			for _, address := range s.Directory("", "") {
+				if ended[address] {
+					f.t.Errorf("%s: %s sends callers to %s, which has ended", what, run.daemon.entry.Name, address)
+				}
+			}
+		})
+	}
+}
+
+// Guards against callers that are sent to daemons that ended long before, because entries of
+// these are still passed on (DRAIN).
+func TestDirectoryAfterHalfOfFleetIsLost(t *testing.T) {
+	eachSize(t, func(t *testing.T, f *modelFleet) {
+		f.kill(f.firstInLine(max(1, len(f.daemons)/2)))
+		time.Sleep(f.contact + 3*time.Second)
+		f.checkDirectory("after half of the fleet was lost")
+	})
 }
 
 // Guards against a fleet that nobody tells of changes because those that watch the store have
