backend: bound the memory for replies of servers

What callers would see: a faulty server sends bytes without end, in a head or a body; the daemon (pistachiousherd) that called it keeps them, runs out of memory and ends, and with it the requests of all its callers. Reported by operators of systems like ours.

Cause: a body was bounded by 16 MB, all bodies together were not, and a head by net/http's 10 MB on each connection; informational answers were read until the deadline.

Change: bodies share a budget of 32 MB, of which one may take a quarter; heads have 16 KB.

--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/leafconn"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -27,13 +28,18 @@
 	warmInterval = 15 * time.Second
 	// idleTimeout is the idle time after which a connection is closed.
 	idleTimeout = 60 * time.Second
-	// maxReply bounds a response body in bytes.
-	maxReply = 16 << 20
+	// maxHeadBytes bounds the head of a response, informational ones before it included.
+	maxHeadBytes = 16 << 10
+	// maxBodyBytes bounds the bodies of all responses that are being read. A quarter of it is
+	// the most that one of them may take.
+	maxBodyBytes = 32 << 20
 )
 
 // Client calls backend servers. It is safe for concurrent use.
 type Client struct {
 	dialer net.Dialer
+	// bodies bounds the memory for response bodies.
+	bodies *leafconn.Budget
 	mu     sync.Mutex
 	closed bool
 	pools  map[model.ServerName]*pool
@@ -43,6 +49,7 @@
 type pool struct {
 	address   string
 	limit     int
+	bodies    *leafconn.Budget
 	transport *http.Transport
 	http      *http.Client
 	// stop ends keepWarm; nil when it is not running.
@@ -53,6 +60,7 @@
 func New() *Client {
 	return &Client{
 		dialer: net.Dialer{Timeout: dialTimeout},
+		bodies: leafconn.NewBudget(maxBodyBytes),
 		pools:  make(map[model.ServerName]*pool),
 	}
 }
@@ -90,8 +98,10 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		Protocols:           protocols,
+		// A greater default would let a faulty server take that much on each connection.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &pool{address: address, limit: limit, transport: t, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &pool{address: address, limit: limit, bodies: c.bodies, transport: t, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
 // noRedirect makes the client return a redirect as the response: following it
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -91,10 +90,11 @@
 		return trace.abandonWithReply(ctx, err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	answer, held, err := c.bodies.ReadWhole(resp)
 	if err != nil {
 		return trace.abandonWithReply(ctx, err)
 	}
+	defer c.bodies.Return(held)
 	trace.responseComplete()
 	return readReply(id, sub, resp, answer)
 }
--- a/pkg/backend/status.go
+++ b/pkg/backend/status.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/pistachiousher/pistachiousher/pkg/model"
@@ -57,10 +56,11 @@
 		return Status{}, fmt.Errorf("%w: %w", ErrStatus, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	body, held, err := p.bodies.ReadWhole(resp)
 	if err != nil {
 		return Status{}, fmt.Errorf("%w: %w", ErrStatus, err)
 	}
+	defer p.bodies.Return(held)
 	if resp.StatusCode != http.StatusOK {
 		return Status{}, fmt.Errorf("%w: status %d", ErrStatus, resp.StatusCode)
 	}
--- a/pkg/leafconn/exchange.go
+++ b/pkg/leafconn/exchange.go
@@ -283,7 +283,7 @@
 	if x.ReduceBody != nil && m == MatchOwn {
 		a.Body, err = x.ReduceBody(resp.Body)
 	} else {
-		a.Body, a.held, err = p.budget.readWhole(resp)
+		a.Body, a.held, err = p.budget.ReadWhole(resp)
 	}
 	if err != nil {
 		return nil, err
--- a/pkg/leafconn/limits.go
+++ b/pkg/leafconn/limits.go
@@ -92,9 +92,9 @@
 	return n, err
 }
 
-// readWhole reads a body into memory that it reserves from the budget; held is the
+// ReadWhole reads a body into memory that it reserves from the budget; held is the
 // number of bytes reserved, and 0 after an error.
-func (b *Budget) readWhole(resp *http.Response) (body []byte, held int64, err error) {
+func (b *Budget) ReadWhole(resp *http.Response) (body []byte, held int64, err error) {
 	limit := b.answerLimit()
 	if resp.ContentLength > limit {
 		return nil, 0, ErrTooLarge
