objectapi: bound the head of a reply

Cause: the client left the bound of net/http, 10 MB, for each reply of the platform.

Change: 16 KB.

--- a/pkg/objectapi/client.go
+++ b/pkg/objectapi/client.go
@@ -21,6 +21,8 @@
 	MaxValueBytes = 1 << 20
 	// maxReplyBytes bounds a reply in bytes; a list holds many values.
 	maxReplyBytes = 64 << 20
+	// maxReplyHeaderBytes bounds the head of a reply in bytes.
+	maxReplyHeaderBytes = 16 << 10
 	// maxWaitingCalls bounds the calls that wait for the budget or a pause, so that
 	// work does not pile up during a long outage.
 	maxWaitingCalls = 64
@@ -65,8 +67,10 @@
 		urls[i] = strings.TrimSuffix(u, "/")
 	}
 	return &Client{
-		urls:    urls,
-		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4}},
+		urls: urls,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxReplyHeaderBytes,
+		}},
 		limiter: rate.NewLimiter(rate.Limit(o.Rate), o.Burst),
 		onCall:  onCall,
 	}
