gateway: a daemon that hears nobody loses contact within seconds in large fleets

What callers would see: a daemon of a large fleet that is cut off from the others and from the store goes on for up to 15 s with first attempts at a version whose roll-out was stopped.

Cause: contact rested on the daemons taken for living, 15 s in fleets of more than 13, while an order is known within 5 s.

Change: it rests on responsive daemons.

Measured: TestContactEndsInLargeFleet fails before ("in contact 5s after anything was heard") and passes now.

--- a/pkg/core/gateway/active_test.go
+++ b/pkg/core/gateway/active_test.go
@@ -157,3 +157,21 @@
 		}
 	}
 }
+
+// Guards against a daemon of a large fleet that is cut off from all others and goes on to
+// send requests to a version whose roll-out was stopped meanwhile.
+func TestContactEndsInLargeFleet(t *testing.T) {
+	// orderWithin is how long an order takes to be known at most.
+	const orderWithin = 5 * time.Second
+	h := newLargeFleet(t, 300)
+	if !h.s.contact() {
+		t.Error("no contact while others are heard")
+	}
+	for end := h.s.now.Add(orderWithin); h.s.now < end; {
+		h.advance(100 * time.Millisecond)
+		h.step(StoreReached{})
+	}
+	if h.s.contact() {
+		t.Errorf("in contact %v after anything was heard", orderWithin)
+	}
+}
--- a/pkg/core/gateway/rollouts.go
+++ b/pkg/core/gateway/rollouts.go
@@ -226,7 +226,7 @@
 		return true
 	}
 	for _, d := range s.daemons {
-		if s.alive(d) {
+		if s.isResponsive(d) {
 			return true
 		}
 	}
