gateway: entries of ended daemons are deleted by the first that watches the store

What operators would see: entries of ended daemons stay in the store, and count as members in every list, for as long as the store turns away the first living daemon by name.

Cause: the job went to the first by name, whether or not it reaches the store; only those that watch the store know whether they do.

Change: the first of those that watch the store does it.

--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -273,10 +273,11 @@
 // do not depend on the iteration order of a map.
 func (s *State) daemonNames() []string { return slices.Sorted(maps.Keys(s.daemons)) }
 
-// checkSilentDaemons marks and logs daemons that have become silent. The first living
-// daemon by name also deletes the entries of those that have been silent for
+// checkSilentDaemons marks and logs daemons that have become silent. The first of those that
+// watch the store also deletes the entries of daemons that have been silent for
 // daemonRetention.
 func (s *State) checkSilentDaemons() {
+	isFirst := s.members.watcher && !s.storeDown && s.placeOfSelf(s.storeOrder()) == 0
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
 		d.responsive = s.isResponsive(d)
@@ -289,20 +290,9 @@
 			delete(s.daemons, name)
 			continue
 		}
-		if gone && !s.storeDown && s.isFirstAlive() {
+		if gone && isFirst {
 			s.emit(RemoveDaemon{Name: d.Name})
 			d.removalCountedFrom = s.now
 		}
 	}
 }
-
-// isFirstAlive reports whether this daemon's name is the first of all living daemons'
-// names, so that only one daemon deletes entries.
-func (s *State) isFirstAlive() bool {
-	for name, d := range s.daemons {
-		if name < s.opt.Self.Name && s.alive(d) {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/core/gateway/members_test.go
+++ b/pkg/core/gateway/members_test.go
@@ -311,6 +311,30 @@
 	}
 }
 
+// Guards against entries of ended daemons that nobody deletes because the daemon whose turn it
+// is cannot reach the store.
+func TestEntriesAreDeletedWhileStoreTurnsFirstDaemonAway(t *testing.T) {
+	h := newHarness(t)
+	first, ended := peerEntry("a1", 1, DaemonReady), peerEntry("d2", 1, DaemonReady)
+	first.StoreDown = true
+	h.step(DaemonsListed{Daemons: []DaemonEntry{first, ended, peerEntry("d1", 0, DaemonReady)}})
+	h.step(GossipReceived{Daemons: []DaemonEntry{first, ended}})
+	for end := h.s.now.Add(daemonRetention + 5*time.Second); h.s.now < end; {
+		h.advance(500 * time.Millisecond)
+		first.Counter++
+		h.step(GossipReceived{Daemons: []DaemonEntry{first}})
+	}
+	removals := 0
+	for _, e := range h.otherEffects {
+		if x, ok := e.(RemoveDaemon); ok && x.Name == ended.Name {
+			removals++
+		}
+	}
+	if removals == 0 {
+		t.Errorf("nobody deletes the entry of %s", ended.Name)
+	}
+}
+
 // Guards against callers in a failure domain that is cut off and whose daemons name
 // only each other, and against a directory that stays empty because the daemons of
 // other domains have ended.
