gateway: the active daemons of each region are passed on first

Change: the entries of the active daemons of each region are passed on first as well, in turn if a message has no room for all of them. Messages stay as long as they are.

--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -190,7 +191,21 @@
 	for name, d := range s.daemons {
 		d.active = names[name]
 	}
-	s.relayFirst(append(active, spare...))
+	first := append(active, spare...)
+	for _, region := range s.regions() {
+		chosen, spare := s.activeAndSpare([]string{region})
+		first = append(append(first, chosen...), spare...)
+	}
+	s.relayFirst(first)
+}
+
+// regions returns the regions of the deployment if there are several.
+func (s *State) regions() []string {
+	names := slices.Compact(slices.Sorted(maps.Values(s.opt.RegionOf)))
+	if len(names) == 1 {
+		return nil
+	}
+	return names
 }
 
 // quotaShareOf returns a daemon's share of the quotas, given the active daemons.
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -192,7 +192,7 @@
 
 // gossipEntries returns this daemon's entry and, if its messages do not go to all
 // daemons, those of daemons that watch the store, then of others with a role or next in
-// line for one, then of those that were heard last.
+// line for one, in turn if they are many, then of those that were heard last.
 func (s *State) gossipEntries() []DaemonEntry {
 	if !s.largeFleet() {
 		return []DaemonEntry{s.self()}
@@ -213,12 +213,17 @@
 		return 2
 	}
 	slices.SortFunc(known, func(a, b *daemon) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
+		inTurn := 0
+		if a.relayedFirst && b.relayedFirst {
+			inTurn = cmp.Compare(a.passedOnAt, b.passedOnAt)
+		}
+		return cmp.Or(cmp.Compare(class(a), class(b)), inTurn, cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
 	})
 	out := []DaemonEntry{s.self()}
 	for _, d := range known[:min(len(known), maxGossipEntries)] {
 		entry := d.WithoutStoredFields()
 		entry.Age = s.now.Sub(d.toldAt)
+		d.passedOnAt = s.now
 		out = append(out, entry)
 	}
 	return out
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -153,6 +153,8 @@
 	// has a role in the fleet or is next in line for one.
 	relayedFirst bool
 	relayedSince model.Time
+	// passedOnAt is when this daemon last passed its entry on.
+	passedOnAt model.Time
 	// responsive means that the daemon has told of itself recently, or had, and its entry was
 	// renewed often enough since.
 	responsive bool
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -33,6 +33,9 @@
 	oneWay atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
 	// isCut, if set, reports whether nothing passes between two daemons.
 	isCut atomic.Pointer[func(to, from gateway.DaemonEntry) bool]
+	// twoRegions puts the second and the fourth failure domain into another region than the
+	// others.
+	twoRegions bool
 	// sequence is that of the last write of a leaf.
 	sequence uint64
 	// silentCopies makes running watches break off silently when the store comes back from
@@ -145,8 +148,11 @@
 	self := d.entry
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	regions := map[string]string{}
-	for _, domain := range modelDomains {
+	for i, domain := range modelDomains {
 		regions[domain] = "slavonija"
+		if d.fleet.twoRegions && i%2 == 1 {
+			regions[domain] = "baranja"
+		}
 	}
 	var seeds []string
 	for _, other := range d.fleet.daemons[:min(3, len(d.fleet.daemons))] {
--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,39 @@
 	f.kill(daemons)
 }
 
+// Guards against a directory that names other daemons of a route's home region again and again,
+// because those are passed on first that callers without a region are sent to.
+func TestDirectoryOfRegionIsStable(t *testing.T) {
+	for _, size := range []int{13, 82, 195} {
+		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newModelDeployment(t, 0)
+				f.twoRegions, f.contact, f.maxSilence = true, 5*time.Second, 1500*time.Millisecond
+				f.startFleet(size)
+				f.store.put(KindConfig, configName, gateway.Config{Version: 8, Routes: []*gateway.Route{{Name: "r", Host: "h", PathPrefix: "/", HomeRegions: []string{"baranja"}}}})
+				time.Sleep(10 * time.Second)
+				lists := map[string]map[string]bool{"h": {}, "any region": {}}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					for _, run := range f.inTouch() {
+						run.runtime.Inspect(func(s *gateway.State) {
+							for host, seen := range lists {
+								seen[strings.Join(s.Directory(host, ""), " ")] = true
+							}
+						})
+					}
+				}
+				for host, seen := range lists {
+					// One of the daemons named may be replaced by the next in line for a while.
+					if len(seen) > 9 {
+						t.Errorf("%s: %d different lists of %d daemons in 10 s, want at most 9", host, len(seen), size)
+					}
+				}
+			})
+		})
+	}
+}
+
 // checkChanges writes a configuration, an evacuation and a leaf's report and reports daemons
 // in touch that do not know them in time, and those that send callers to a daemon that has
 // ended.
