--- a/pkg/objectapi/endless_test.go
+++ b/pkg/objectapi/endless_test.go
@@ -1,11 +1,11 @@
 package objectapi
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"runtime"
-	"strings"
 	"testing"
 	"time"
 )
@@ -27,10 +27,10 @@
 			}
 			go func() {
 				defer conn.Close()
-				block := strings.Repeat("x", 32<<10)
+				block := bytes.Repeat([]byte("x"), 32<<10)
 				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nLong: ")
 				for err == nil {
-					_, err = io.WriteString(conn, block)
+					_, err = conn.Write(block)
 				}
 			}()
 		}
