edge: tests for the time without a watcher of the store

Cause: the tests of watchers that leave or are lost ask when changes are known, not whether somebody watches.

--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -168,6 +168,38 @@
 	}
 }
 
+// Guards against a fleet in which nobody watches the store so long that a change is in force too
+// late, or in which a successor gives the watch back while nobody else has it.
+func TestWatchIsTakenOver(t *testing.T) {
+	// passingOn is the part of the bound that is left for the change to reach all daemons.
+	const passingOn = time.Second
+	eachSize(t, func(t *testing.T, f *modelFleet) {
+		lost := time.Now()
+		f.kill(f.firstInLine(9))
+		sleepUntil(lost, min(f.drainBound, f.evacuateBound)-passingOn)
+		for range 60 {
+			if len(f.watchers()) == 0 {
+				t.Fatalf("nobody watches the store %v after the first 9 in line were lost", time.Since(lost))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a moment in which nobody watches the store while the watchers leave in a
+// planned way.
+func TestWatchIsHandedOver(t *testing.T) {
+	eachSize(t, func(t *testing.T, f *modelFleet) {
+		go f.leave(f.firstInLine(3))
+		for range 200 {
+			time.Sleep(20 * time.Millisecond)
+			if len(f.watchers()) == 0 {
+				t.Fatal("nobody watches the store")
+			}
+		}
+	})
+}
+
 // Guards against the same while half of a fleet leaves, a few daemons at a time: those that
 // take over the watch leave next.
 func TestChangesWhileFleetLeaves(t *testing.T) {
