gateway: less work and fewer copies around the roles of daemons

Every message of a watcher sorted all daemons to find out whether it deletes entries, although there is seldom one to delete; every reading of a metric sorted them to count them; two loops collected the addresses of all daemons; three functions turned a condition into 0 or 1 for a comparison.

Change: isFirstWatcher is asked only when an entry is due, storeCandidates counts without an order, peerAddresses and compareBool serve both places each. Behaviour is as before.

--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -316,7 +316,7 @@
 
 // Status returns the values for metrics.
 func (s *State) Status() Status {
-	daemons := len(s.storeOrderOf(s.alive))
+	daemons := len(s.storeCandidates(s.alive))
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
 		Watcher: s.members.watcher, WatchAge: s.WatchAge(), StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -128,11 +128,7 @@
 	if !s.members.watcher || !s.largeFleet() {
 		return
 	}
-	var others []string
-	for _, name := range s.daemonNames() {
-		others = append(others, s.daemons[name].PeerAddress)
-	}
-	s.emitGossip(s.randomSample(others, watcherGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
+	s.emitGossip(s.randomSample(s.peerAddresses(), watcherGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
 }
 
 // nextGossipTime returns when the next message is due.
@@ -164,9 +160,7 @@
 func (s *State) gossipTargets() []string {
 	var to []string
 	if !s.largeFleet() {
-		for _, name := range s.daemonNames() {
-			to = append(to, s.daemons[name].PeerAddress)
-		}
+		to = s.peerAddresses()
 	} else {
 		var near, far []string
 		for _, name := range s.daemonNames() {
@@ -184,6 +178,15 @@
 	return to
 }
 
+// peerAddresses returns the addresses of all other daemons.
+func (s *State) peerAddresses() []string {
+	var out []string
+	for _, name := range s.daemonNames() {
+		out = append(out, s.daemons[name].PeerAddress)
+	}
+	return out
+}
+
 // randomSample returns up to n of the values in random order. It reorders values.
 func (s *State) randomSample(values []string, n int) []string {
 	s.rand.Shuffle(len(values), func(i, j int) { values[i], values[j] = values[j], values[i] })
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -279,7 +279,6 @@
 // watch the store also deletes the entries of daemons that have been silent for
 // daemonRetention.
 func (s *State) checkSilentDaemons() {
-	isFirst := s.members.watcher && !s.storeDown && s.placeOfSelf(s.storeOrder()) == 0
 	for _, name := range s.daemonNames() {
 		d := s.daemons[name]
 		d.responsive = s.isResponsive(d)
@@ -292,9 +291,15 @@
 			delete(s.daemons, name)
 			continue
 		}
-		if gone && isFirst {
+		if gone && s.isFirstWatcher() {
 			s.emit(RemoveDaemon{Name: d.Name})
 			d.removalCountedFrom = s.now
 		}
 	}
 }
+
+// isFirstWatcher reports whether this daemon is the first of those that watch the store, so that
+// only one daemon deletes entries.
+func (s *State) isFirstWatcher() bool {
+	return s.members.watcher && !s.storeDown && s.placeOfSelf(s.storeOrder()) == 0
+}
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -227,20 +227,10 @@
 		}
 		return 0
 	}
-	responsive := func(d *daemon) int {
-		if s.isResponsive(d) {
-			return 1
-		}
-		return 0
-	}
-	near := func(d *daemon) int {
-		if d.FailureDomain == s.opt.Self.FailureDomain && !d.StoreDown {
-			return 1
-		}
-		return 0
-	}
+	near := func(d *daemon) bool { return d.FailureDomain == s.opt.Self.FailureDomain && !d.StoreDown }
 	return cmp.Or(
-		cmp.Compare(canFetch(a), canFetch(b)), cmp.Compare(responsive(a), responsive(b)), cmp.Compare(near(a), near(b)), cmp.Compare(a.ConfigVersion, b.ConfigVersion),
+		cmp.Compare(canFetch(a), canFetch(b)), compareBool(s.isResponsive(a), s.isResponsive(b)), compareBool(near(a), near(b)),
+		cmp.Compare(a.ConfigVersion, b.ConfigVersion),
 		cmp.Compare(a.View.Era, b.View.Era),
 		cmp.Compare(a.View.Evacuations, b.View.Evacuations), cmp.Compare(a.View.Servers, b.View.Servers),
 		cmp.Compare(a.View.Rollouts, b.View.Rollouts),
--- a/pkg/core/gateway/watchers.go
+++ b/pkg/core/gateway/watchers.go
@@ -51,20 +51,27 @@
 // daemons are ordered by a hash of the name.
 func (s *State) storeOrder() []DaemonEntry { return s.storeOrderOf(s.isResponsive) }
 
-// storeOrderOf is storeOrder with another condition.
-func (s *State) storeOrderOf(isCandidate func(*daemon) bool) []DaemonEntry {
+// storeCandidates returns this daemon and those that fulfil a condition and reach the store, in
+// no order.
+func (s *State) storeCandidates(isCandidate func(*daemon) bool) []DaemonEntry {
 	self := s.opt.Self
 	if s.stopping {
 		self.State = DaemonLeaving
 	}
-	order := []DaemonEntry{self}
+	out := []DaemonEntry{self}
 	for _, d := range s.daemons {
 		if isCandidate(d) && !d.StoreDown {
-			order = append(order, d.DaemonEntry)
+			out = append(out, d.DaemonEntry)
 		}
 	}
+	return out
+}
+
+// storeOrderOf is storeOrder with another condition.
+func (s *State) storeOrderOf(isCandidate func(*daemon) bool) []DaemonEntry {
+	order := s.storeCandidates(isCandidate)
 	leavingLast := func(a, b DaemonEntry) int {
-		return cmp.Compare(isLeaving(a), isLeaving(b))
+		return compareBool(a.State == DaemonLeaving, b.State == DaemonLeaving)
 	}
 	slices.SortFunc(order, func(a, b DaemonEntry) int { return cmp.Or(leavingLast(a, b), compareByHash(a, b)) })
 	turns, turnOf := map[string]int{}, make(map[string]int, len(order))
@@ -78,12 +85,15 @@
 	return order
 }
 
-// isLeaving returns 1 for a daemon that leaves, otherwise 0.
-func isLeaving(e DaemonEntry) int {
-	if e.State == DaemonLeaving {
-		return 1
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
-	return 0
+	return 1
 }
 
 // placeOfSelf returns this daemon's place in an order.
