--- a/pkg/answers/answerstest/cases.go
+++ b/pkg/answers/answerstest/cases.go
@@ -4,12 +4,7 @@
 
 import (
 	"fmt"
-	"net"
-	"net/http"
 	"strings"
-	"testing"
-
-	"bufio"
 )
 
 // Case is what a server sends before it closes the connection.
@@ -84,29 +79,3 @@
 	}
 	return list
 }
-
-// Serve starts a server that answers each request with raw, closes the connection and is
-// closed at the end of the test. It returns its address.
-func Serve(t *testing.T, raw string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = conn.Write([]byte(raw))
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
--- a/pkg/backend/endless_test.go
+++ b/pkg/backend/endless_test.go
@@ -1,18 +1,14 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers/answerstest"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -45,11 +41,10 @@
 		t.Run(name, func(t *testing.T) {
 			c := New()
 			defer c.Close()
-			runtime.GC()
-			peak := watchHeap(t)
+			grown := answerstest.WatchMemory()
 			var wg sync.WaitGroup
 			for i := range servers {
-				address := endlessServer(t, reply.head, reply.repeated)
+				address := answerstest.ServeEndlessly(t, reply.head, reply.repeated)
 				sub := testSub
 				sub.Server = model.ServerName(fmt.Sprint("server", i))
 				for range calls {
@@ -70,7 +65,7 @@
 			}
 			start := time.Now()
 			wg.Wait()
-			added := peak()
+			added := grown()
 			t.Logf("%d MB in %v", added>>20, time.Since(start))
 			if added > maxAddedBytes {
 				t.Errorf("memory in use grew by %d MB, want at most %d", added>>20, maxAddedBytes>>20)
@@ -78,63 +73,3 @@
 		})
 	}
 }
-
-// endlessServer starts a server that answers each request with head and then with repeated,
-// until the connection is closed, and returns its address.
-func endlessServer(t *testing.T, head, repeated string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, head)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// watchHeap returns a function that ends the measurement and returns by how many bytes the
-// memory in use grew at most.
-func watchHeap(t *testing.T) func() int64 {
-	t.Helper()
-	inUse := func() int64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapInuse + m.StackInuse)
-	}
-	before, peak := inUse(), int64(0)
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-				peak = max(peak, inUse())
-			}
-		}
-	}()
-	return func() int64 {
-		close(stop)
-		<-done
-		return peak - before
-	}
-}
--- a/pkg/edge/endlessview_test.go
+++ b/pkg/edge/endlessview_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers/answerstest"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
@@ -20,15 +21,7 @@
 		most  = 8 * maxViewBytes
 		bound = fetchTimeout + time.Second
 	)
-	endless := func(w io.Writer) {
-		_, _ = io.WriteString(w, `{"kinds":{"servers":{"objects":{"`)
-		block := []byte(strings.Repeat("x", 32<<10))
-		for {
-			if _, err := w.Write(block); err != nil {
-				return
-			}
-		}
-	}
+	endless := func(w io.Writer) { answerstest.WriteEndlessly(w, `{"kinds":{"servers":{"objects":{"`, "x") }
 	for name, serve := range map[string]http.HandlerFunc{
 		"plain": func(w http.ResponseWriter, _ *http.Request) { endless(w) },
 		"compressed": func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/edged/endless_test.go
+++ b/pkg/edged/endless_test.go
@@ -7,13 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pistachiousher/pistachiousher/pkg/answers/answerstest"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
@@ -22,31 +21,8 @@
 // repeated, again and again until the connection is closed.
 func (s *site) endlessLeaf(id, service, head, repeated string) {
 	s.t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { ln.Close() })
-	block := []byte(strings.Repeat(repeated, 1+(4<<10)/len(repeated)))
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, head)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	s.store.PutServer(gateway.Server{ID: id, Service: service, Address: ln.Addr().String(), FailureDomain: "a", Slots: 2})
+	address := answerstest.ServeEndlessly(s.t, head, repeated)
+	s.store.PutServer(gateway.Server{ID: id, Service: service, Address: address, FailureDomain: "a", Slots: 2})
 }
 
 // Guards against a daemon that runs out of memory because leafs send endless
@@ -82,25 +58,7 @@
 	s.configure(r)
 	d := s.daemon(1)
 	eventually(t, startTimeout, "ready", d.ready)
-	runtime.GC()
-	var before runtime.MemStats
-	runtime.ReadMemStats(&before)
-	var peak atomic.Uint64
-	stop := make(chan struct{})
-	watcherDone := make(chan struct{})
-	go func() {
-		defer close(watcherDone)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-				var now runtime.MemStats
-				runtime.ReadMemStats(&now)
-				peak.Store(max(peak.Load(), now.HeapInuse+now.StackInuse))
-			}
-		}
-	}()
+	grown := answerstest.WatchMemory()
 	complete := 0
 	for i := range 20 {
 		a := d.call("GET", "/all/x", fmt.Sprintf("q%d", i), 2*time.Second, "")
@@ -108,9 +66,7 @@
 			complete++
 		}
 	}
-	close(stop)
-	<-watcherDone
-	if added := int64(peak.Load()) - int64(before.HeapInuse+before.StackInuse); added > maxAddedBytes {
+	if added := grown(); added > maxAddedBytes {
 		t.Errorf("memory in use grew by %d bytes", added)
 	}
 	// The first queries may be incomplete, because the retry budget bounds their second
--- a/pkg/leafconn/limits_test.go
+++ b/pkg/leafconn/limits_test.go
@@ -11,20 +11,9 @@
 	"strings"
 	"testing"
 	"time"
-)
 
-// writeEndlessly writes head, then part again and again until the connection is closed.
-func writeEndlessly(c net.Conn, head, part string) {
-	if _, err := io.WriteString(c, head); err != nil {
-		return
-	}
-	block := []byte(strings.Repeat(part, 1+(8<<10)/len(part)))
-	for {
-		if _, err := c.Write(block); err != nil {
-			return
-		}
-	}
-}
+	"github.com/pistachiousher/pistachiousher/pkg/answers/answerstest"
+)
 
 // Guards against a leaf that exhausts the daemon's memory by sending without end: in a
 // head, in informational answers, or in a body, whatever length it states.
@@ -59,7 +48,7 @@
 		"body of a 204":      {"HTTP/1.1 204 No Content\r\nId: a\r\n\r\n", "x", nil},
 		"more than its body": {ok + "Content-Length: 1\r\n\r\n", "x", nil},
 	} {
-		l := startLeaf(t, func(c net.Conn, _ int, _ *http.Request) { writeEndlessly(c, x.head, x.part) })
+		l := startLeaf(t, func(c net.Conn, _ int, _ *http.Request) { answerstest.WriteEndlessly(c, x.head, x.part) })
 		p := NewPool(nil, NewBudget(budget))
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
--- a/pkg/objectapi/endless_test.go
+++ b/pkg/objectapi/endless_test.go
@@ -1,41 +1,20 @@
 package objectapi
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net"
 	"runtime"
 	"testing"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/pkg/answers/answerstest"
 )
 
 // Guards against a reply whose head never ends and that a client keeps until the call's
 // deadline or the bound of net/http, 10 MB.
 func TestEndlessReplyHead(t *testing.T) {
 	const maxAllocated = 1 << 20
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				block := bytes.Repeat([]byte("x"), 32<<10)
-				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nLong: ")
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	c := New(Options{URLs: []string{"http://" + ln.Addr().String()}, Rate: 100, Burst: 100})
+	address := answerstest.ServeEndlessly(t, "HTTP/1.1 200 OK\r\nLong: ", "x")
+	c := New(Options{URLs: []string{"http://" + address}, Rate: 100, Burst: 100})
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
