--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -71,37 +71,12 @@
 	f.kill(daemons)
 }
 
-// Guards against a directory that names other daemons of a route's home region again and again,
-// because those are passed on first that callers without a region are sent to.
-func TestDirectoryOfRegionIsStable(t *testing.T) {
-	for _, size := range []int{13, 82, 195} {
-		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newModelDeployment(t, 0)
-				f.twoRegions, f.contact, f.maxSilence = true, 5*time.Second, 1500*time.Millisecond
-				f.startFleet(size)
-				f.store.put(KindConfig, configName, gateway.Config{Version: 8, Routes: []*gateway.Route{{Name: "r", Host: "h", PathPrefix: "/", HomeRegions: []string{"baranja"}}}})
-				time.Sleep(10 * time.Second)
-				lists := map[string]map[string]bool{"h": {}, "any region": {}}
-				for range 100 {
-					time.Sleep(100 * time.Millisecond)
-					for _, run := range f.inTouch() {
-						run.runtime.Inspect(func(s *gateway.State) {
-							for host, seen := range lists {
-								seen[strings.Join(s.Directory(host, ""), " ")] = true
-							}
-						})
-					}
-				}
-				for host, seen := range lists {
-					// One of the daemons named may be replaced by the next in line for a while.
-					if len(seen) > 9 {
-						t.Errorf("%s: %d different lists of %d daemons in 10 s, want at most 9", host, len(seen), size)
-					}
-				}
-			})
-		})
+// cutOff lets nothing pass between a failure domain and the others.
+func (f *modelFleet) cutOff(domain string) {
+	isCut := func(to, from gateway.DaemonEntry) bool {
+		return (to.FailureDomain == domain) != (from.FailureDomain == domain)
 	}
+	f.isCut.Store(&isCut)
 }
 
 // checkChanges writes a configuration, an evacuation and a leaf's report and reports daemons
@@ -139,6 +114,39 @@
 	}
 }
 
+// Guards against a directory that names other daemons of a route's home region again and again,
+// because those are passed on first that callers without a region are sent to.
+func TestDirectoryOfRegionIsStable(t *testing.T) {
+	for _, size := range []int{13, 82, 195} {
+		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newModelDeployment(t, 0)
+				f.twoRegions, f.contact, f.maxSilence = true, 5*time.Second, 1500*time.Millisecond
+				f.startFleet(size)
+				f.store.put(KindConfig, configName, gateway.Config{Version: 8, Routes: []*gateway.Route{{Name: "r", Host: "h", PathPrefix: "/", HomeRegions: []string{"baranja"}}}})
+				time.Sleep(10 * time.Second)
+				lists := map[string]map[string]bool{"h": {}, "any region": {}}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					for _, run := range f.inTouch() {
+						run.runtime.Inspect(func(s *gateway.State) {
+							for host, seen := range lists {
+								seen[strings.Join(s.Directory(host, ""), " ")] = true
+							}
+						})
+					}
+				}
+				for host, seen := range lists {
+					// One of the daemons named may be replaced by the next in line for a while.
+					if len(seen) > 9 {
+						t.Errorf("%s: %d different lists of %d daemons in 10 s, want at most 9", host, len(seen), size)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against callers that are sent to daemons that ended long before, because entries of
 // these are still passed on (DRAIN).
 func TestDirectoryAfterHalfOfFleetIsLost(t *testing.T) {
@@ -221,12 +229,7 @@
 // store turns a third of the others away.
 func TestChangesAfterLossAndOneMoreFault(t *testing.T) {
 	faults := map[string]func(f *modelFleet){
-		"a domain is cut off": func(f *modelFleet) {
-			isCut := func(to, from gateway.DaemonEntry) bool {
-				return (to.FailureDomain == modelDomains[0]) != (from.FailureDomain == modelDomains[0])
-			}
-			f.isCut.Store(&isCut)
-		},
+		"a domain is cut off": func(f *modelFleet) { f.cutOff(modelDomains[0]) },
 		"the store turns some away": func(f *modelFleet) {
 			turnedAway := map[string]bool{}
 			for i, d := range f.daemons {
@@ -298,10 +301,7 @@
 				domain = d
 			}
 		}
-		isCut := func(to, from gateway.DaemonEntry) bool {
-			return (to.FailureDomain == domain) != (from.FailureDomain == domain)
-		}
-		f.isCut.Store(&isCut)
+		f.cutOff(domain)
 		f.checkChanges("while " + domain + " is cut off")
 	})
 }
