edge: a daemon that is not ready, or cannot start, says why

Cause of the silence: readiness answers had no body; the log and the status did not say which condition was not met, nor that the store had no usable configuration; a daemon that ended at its start wrote to its standard error only.

Change: the reducer keeps why each condition is not met; the readiness answer, edge_not_ready (1706) and the status show it. edge_ready (1705), edge_start_failed (1707).

--- a/cmd/pistachiousher-edge/main.go
+++ b/cmd/pistachiousher-edge/main.go
@@ -24,6 +24,7 @@
 func run(path string) error {
 	settings, err := edged.LoadSettings(path)
 	if err != nil {
+		edged.LogStartFailure(os.Stdout, err)
 		return err
 	}
 	settings.LimitMemory()
--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -113,6 +113,9 @@
 func (s edgeStatus) WriteText(w io.Writer) error {
 	st := s.Status
 	out := fmt.Sprintf("%s: ready %v, configuration %d, leafs revision %d, evacuations revision %d, view age %v\n", s.VM, st.Ready, st.ConfigVersion, st.View.Servers, st.View.Evacuations, st.ViewAge)
+	for _, cause := range st.NotReady {
+		out += "not ready: " + cause + "\n"
+	}
 	out += fmt.Sprintf("store: watched %v, down %v", st.Watcher, st.StoreDown)
 	if st.StoreEra > 0 {
 		out += fmt.Sprintf(", era %d, %d evacuations held", st.StoreEra, st.HeldEvacuations)
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -105,9 +105,15 @@
 	Sections Sections
 }
 
+// ConfigUnusable says why no configuration came from the store: it has none, or one that
+// cannot be used.
+type ConfigUnusable struct{ Cause string }
+
 // StoreReached says whether the latest call to the store succeeded.
 type StoreReached struct {
 	OK bool
+	// Objects are those that the call was about.
+	Objects StoreObjects
 	// Cause is the error of a failed call.
 	Cause string
 }
@@ -134,6 +140,7 @@
 func (CallerGone) event()        {}
 func (CallDone) event()          {}
 func (ConfigSeen) event()        {}
+func (ConfigUnusable) event()    {}
 func (ServersListed) event()     {}
 func (ServerChanged) event()     {}
 func (ServerRemoved) event()     {}
@@ -294,6 +301,8 @@
 	LogDaemonSeen
 	LogDaemonSilent
 	LogWatchersChanged
+	LogReady
+	LogNotReady
 	LogStoreLost
 	LogStoreRegained
 	LogStopStarted
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -91,6 +91,7 @@
 	waitingServices []*service
 	rollouts        rolloutState
 	admission       admissionState
+	readiness       readiness
 }
 
 // New returns a reducer that knows no configuration and no leafs yet.
@@ -126,6 +127,8 @@
 	case Tick:
 	case ConfigSeen:
 		s.configSeen(e)
+	case ConfigUnusable:
+		s.configUnusable(e)
 	case ServersListed:
 		s.serversListed(e)
 	case ServerChanged:
@@ -168,13 +171,15 @@
 // caller that recovered from a panic in Step.
 func (s *State) EffectsSoFar() []Effect { return s.effects }
 
-// runDue handles roll-outs, query timers, lapsed leafs, queued parts and gossip that are due.
+// runDue handles roll-outs, query timers, lapsed leafs, queued parts, gossip and log lines that
+// are due.
 func (s *State) runDue() {
 	s.rolloutsDue()
 	s.handleDueQueries()
 	s.dropLapsed()
 	s.scanQueues()
 	s.gossipIfDue()
+	s.logReadiness()
 }
 
 // NextWake returns the time by which Step has to be called, with a Tick if no other
@@ -190,9 +195,6 @@
 	return min(wake, s.rollouts.nextAt)
 }
 
-// Ready reports whether the daemon may receive requests.
-func (s *State) Ready() bool { return s.config != nil && s.serversKnown && !s.stopping }
-
 // Version returns the version of the configuration in use, 0 if there is none.
 func (s *State) Version() uint64 {
 	if s.config == nil {
@@ -250,6 +252,7 @@
 }
 
 func (s *State) storeReached(e StoreReached) {
+	s.readiness.callEnded(e)
 	ok := e.OK
 	if !ok {
 		s.storeFailedAt = s.now
@@ -274,7 +277,9 @@
 	ViewAge time.Duration
 	View    ViewRevisions
 	Ready   bool
-	Watcher bool
+	// NotReady is what the daemon lacks if it is not ready.
+	NotReady []string
+	Watcher  bool
 	// WatchAge is how long ago a daemon last told that it watches the store.
 	WatchAge  time.Duration
 	StoreDown bool
@@ -318,7 +323,7 @@
 func (s *State) Status() Status {
 	daemons := len(s.storeCandidates(s.alive))
 	out := Status{
-		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(),
+		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(), NotReady: s.NotReady(),
 		Watcher: s.members.watcher, WatchAge: s.WatchAge(), StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -177,11 +177,11 @@
 	}
 }
 
-// Ready reports whether the daemon accepts requests.
-func (r *Runtime) Ready() bool {
+// NotReady returns what keeps the daemon from accepting requests; nothing if it does.
+func (r *Runtime) NotReady() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Ready()
+	return r.core.NotReady()
 }
 
 // Directory returns the addresses of daemons that callers may use for a host.
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -171,7 +171,7 @@
 		f.onInvalid(kind, "", err)
 		return
 	}
-	f.recordStoreCall(err)
+	f.recordStoreCall(kind, err)
 }
 
 // awaitSyncNeeded waits until the store is to be queried for the kind. It reports false
@@ -276,7 +276,7 @@
 	if at.Era < known.Era {
 		return fmt.Errorf("%w: watch %s: answered in era %d, %d is known", ErrStore, kind, at.Era, known.Era)
 	}
-	f.recordStoreCall(nil)
+	f.recordStoreCall(kind, nil)
 	if at.Era > known.Era {
 		return nil
 	}
@@ -338,7 +338,7 @@
 	if err != nil {
 		return err
 	}
-	f.recordStoreCall(nil)
+	f.recordStoreCall(kind, nil)
 	f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
 	if !mayBeStale && at.Era == f.store.Era() {
 		f.confirm(kind)
@@ -354,9 +354,12 @@
 	f.relistDue[kind] = true
 }
 
-// recordStoreCall records and posts whether a call to the store worked. Invariant: the
-// reducer is told of each change from working to failing and back.
-func (f *Follower) recordStoreCall(err error) {
+// objectsOf maps kinds to what the reducer tells apart.
+var objectsOf = map[Kind]gateway.StoreObjects{KindConfig: gateway.ConfigObjects, KindServers: gateway.ServerObjects}
+
+// recordStoreCall records and posts whether a call to the store about a kind worked.
+// Invariant: the reducer is told of each change from working to failing and back.
+func (f *Follower) recordStoreCall(kind Kind, err error) {
 	ok := err == nil
 	f.mu.Lock()
 	if !ok {
@@ -368,7 +371,7 @@
 		f.wakeLoops()
 	}
 	f.mu.Unlock()
-	event := gateway.StoreReached{OK: ok}
+	event := gateway.StoreReached{OK: ok, Objects: objectsOf[kind]}
 	if err != nil {
 		event.Cause = err.Error()
 	}
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -81,7 +81,7 @@
 			// The next attempt reads the entry back.
 			continue
 		}
-		f.recordStoreCall(err)
+		f.recordStoreCall(KindDaemons, err)
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -56,11 +56,13 @@
 func (f *Follower) postConfig(objects map[string]Object, source string) {
 	o, ok := objects[configName]
 	if !ok {
+		f.post(gateway.ConfigUnusable{Cause: "the store has none"})
 		return
 	}
 	c, err := f.decoder.Config(o.Value)
 	if err != nil {
 		f.onInvalid(KindConfig, configName, err)
+		f.post(gateway.ConfigUnusable{Cause: err.Error()})
 		return
 	}
 	f.post(gateway.ConfigSeen{Config: c, Source: source})
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -108,10 +108,12 @@
 func Run(ctx context.Context, s *Settings, p Platform, logOutput io.Writer) error {
 	listeners, err := listen(s)
 	if err != nil {
+		LogStartFailure(logOutput, err)
 		return err
 	}
 	lagProbe, err := edge.NewLagProbe()
 	if err != nil {
+		LogStartFailure(logOutput, err)
 		return err
 	}
 	d := newDaemon(s, p, listeners, lagProbe, logOutput)
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -1,11 +1,15 @@
 package edged
 
 import (
+	"context"
+	"io"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/logevent"
 	"github.com/pistachiousher/pistachiousher/pkg/logwriter"
@@ -42,6 +46,8 @@
 	gateway.LogDaemonSeen:       logevent.EdgeDaemonSeen,
 	gateway.LogDaemonSilent:     logevent.EdgeDaemonSilent,
 	gateway.LogWatchersChanged:  logevent.EdgeWatchersChanged,
+	gateway.LogReady:            logevent.EdgeReady,
+	gateway.LogNotReady:         logevent.EdgeNotReady,
 	gateway.LogStoreLost:        logevent.EdgeStoreLost,
 	gateway.LogStoreRegained:    logevent.EdgeStoreRegained,
 	gateway.LogStoreCopied:      logevent.EdgeStoreCopied,
@@ -59,6 +65,16 @@
 	gateway.LogRolloutWriteFailed: logevent.EdgeRolloutWriteFailed,
 }
 
+// LogStartFailure writes the log event of a daemon that cannot start.
+func LogStartFailure(out io.Writer, err error) {
+	w := logwriter.NewSized(out, log.ErrorLevel, nil, 1)
+	w.Write(logevent.EdgeStartFailed, []logevent.Field{logevent.Str("error", err.Error())})
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	// It ends with the context's error.
+	_ = w.Run(ended)
+}
+
 // reducerLog writes the reducer's log entries as log events and counts requests in
 // the metrics. It must be called by one goroutine at a time.
 type reducerLog struct {
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -9,6 +9,9 @@
 	EdgeStopped          ID = 1702
 	EdgeSettingsRead     ID = 1703
 	EdgeSettingsInvalid  ID = 1704
+	EdgeReady            ID = 1705
+	EdgeNotReady         ID = 1706
+	EdgeStartFailed      ID = 1707
 	EdgeAnswered         ID = 1710
 	EdgePartial          ID = 1711
 	EdgeRefused          ID = 1712
@@ -63,6 +66,9 @@
 	{EdgeStopped, "edge_stopped", log.InfoLevel, "The daemon ends; open requests were cut off if there are any."},
 	{EdgeSettingsRead, "edge_settings_read", log.InfoLevel, "The settings file was read again. Retry budget, contact loss and seeds take effect at once, other changes at the next start."},
 	{EdgeSettingsInvalid, "edge_settings_invalid", log.ErrorLevel, "The settings file has changed and cannot be used; the daemon keeps its current settings."},
+	{EdgeReady, "edge_ready", log.InfoLevel, "The daemon has a configuration and a list of leafs and takes requests, age_ms after its start."},
+	{EdgeNotReady, "edge_not_ready", log.WarnLevel, "The daemon has run for age_ms and takes no requests yet; detail says what it lacks and why. Written when that changes, at most every five seconds."},
+	{EdgeStartFailed, "edge_start_failed", log.ErrorLevel, "The daemon cannot start and ends; error says what it lacks."},
 	{EdgeAnswered, "edge_answered", log.InfoLevel, "A request was answered; calls, hedges and retries count its attempts at leafs. A late one, like all requests in lines 1711 to 1713, names in waited_for what it waited for longest, and what was known when the attempt was sent on which it waited."},
 	{EdgePartial, "edge_partial", log.InfoLevel, "A query over shards was answered without some of them; why lists service, reason and leaf of each."},
 	{EdgeRefused, "edge_refused", log.WarnLevel, "A request was not answered by a leaf, or the leaf's answer was a failure; outcome is the reason."},
