edge: answers of a slow store are used although they are late

What callers would see: no daemon of a fleet that starts becomes ready while the store takes more than 2 s for each answer.

Cause: a list was cancelled after callTimeout and begun again, each time with its answer on the way.

Change: after callTimeout a call counts as failed and is repeated, while the first goes on for up to 10 s; the answer that is first and newer is used. Lists no longer run under the time of a watch.

--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -29,8 +29,11 @@
 	refreshWait = 300 * time.Millisecond
 	// watchGrace is how long after the wait of a watch its answer may still arrive.
 	watchGrace = 700 * time.Millisecond
-	// callTimeout bounds a call to the store other than a watch.
+	// callTimeout is how long a call to the store other than a watch may take before it
+	// counts as failed and is tried again.
 	callTimeout = 2 * time.Second
+	// lateCallTimeout is how long such a call may take until its answer is no longer used.
+	lateCallTimeout = 10 * time.Second
 	// leafWatchPause is the pause between watches of leafs: their changes come in
 	// bursts, and the next watch then returns several in one answer.
 	leafWatchPause = 300 * time.Millisecond
@@ -259,13 +262,14 @@
 	known, ok := f.view[kind]
 	ok = ok && !f.relistDue[kind] && known.Era >= era
 	wait := f.watchWait(kind, place, count)
+	if !ok {
+		f.mu.Unlock()
+		return f.listKind(ctx, kind, false)
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	f.cancelWatch[kind] = cancel
 	f.mu.Unlock()
 	defer cancel()
-	if !ok {
-		return f.listKind(ctx, kind, false)
-	}
 	changes, at, err := f.store.Watch(ctx, kind, known.position(), wait)
 	if err != nil {
 		if f.isRefreshDue(kind) {
@@ -332,18 +336,41 @@
 }
 
 func (f *Follower) listKind(ctx context.Context, kind Kind, mayBeStale bool) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	objects, at, err := f.store.List(ctx, kind, mayBeStale)
-	if err != nil {
+	return callStore(ctx, func(ctx context.Context) error {
+		objects, at, err := f.store.List(ctx, kind, mayBeStale)
+		if err != nil {
+			return err
+		}
+		f.recordStoreCall(kind, nil)
+		f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
+		if !mayBeStale && at.Era == f.store.Era() {
+			f.confirm(kind)
+		}
+		return nil
+	})
+}
+
+// callStore makes a call to the store and uses its answer. It returns after callTimeout, so
+// that the call is tried again: it may have been sent on a connection that is dead. The call
+// itself goes on until lateCallTimeout, since a store that answers no call within callTimeout
+// would otherwise never be heard.
+func callStore(ctx context.Context, call func(ctx context.Context) error) error {
+	ended := make(chan error, 1)
+	callCtx, cancel := context.WithTimeout(ctx, lateCallTimeout)
+	go func() {
+		defer cancel()
+		ended <- catchPanic(func() error { return call(callCtx) })
+	}()
+	timeout := time.NewTimer(callTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-ended:
 		return err
+	case <-timeout.C:
+		return fmt.Errorf("%w: no answer within %v", ErrStore, callTimeout)
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	f.recordStoreCall(kind, nil)
-	f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
-	if !mayBeStale && at.Era == f.store.Era() {
-		f.confirm(kind)
-	}
-	return nil
 }
 
 // requestRelist makes the next syncOnce list the kind, because the store no longer has
--- a/pkg/edge/register.go
+++ b/pkg/edge/register.go
@@ -68,29 +68,41 @@
 // there was no entry of the daemon before.
 func (f *Follower) registerWithRetries(ctx context.Context, entry gateway.DaemonEntry) (created bool, err error) {
 	backoff := initialBackoff
+	// registered receives the result of the first call that succeeds, also of a late one.
+	registered := make(chan bool, 1)
 	for ctx.Err() == nil {
-		err := catchPanic(func() (err error) {
-			created, err = f.register(ctx, entry)
+		err := callStore(ctx, func(ctx context.Context) error {
+			created, err := f.register(ctx, entry)
+			if err == nil {
+				select {
+				case registered <- created:
+				default:
+				}
+			}
 			return err
 		})
 		f.observeEra(f.store.Era(), true)
 		if err == nil {
-			return created, nil
+			return <-registered, nil
 		}
 		if errors.Is(err, ErrEraChanged) {
 			// The next attempt reads the entry back.
 			continue
 		}
 		f.recordStoreCall(KindDaemons, err)
-		sleep(ctx, backoff/2+rand.N(backoff))
+		pause := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
+		select {
+		case created := <-registered:
+			return created, nil
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
 	}
 	return false, ctx.Err()
 }
 
 func (f *Follower) register(ctx context.Context, entry gateway.DaemonEntry) (created bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	old, err := f.store.Create(ctx, KindDaemons, entry.Name, entry)
 	if !errors.Is(err, ErrConflict) {
 		return err == nil, err
--- a/test/fleet/ready_test.go
+++ b/test/fleet/ready_test.go
@@ -50,6 +50,7 @@
 		{"together", atOnce},
 		{"one after the other", func(s *site) { s.startAll(50 * time.Millisecond) }},
 		{"while the store is slow", func(s *site) { s.gate.set(faults{Delay: time.Second}); s.startAll(0) }},
+		{"while the store takes longer than a call may take", func(s *site) { s.gate.set(faults{Delay: 2500 * time.Millisecond}); s.startAll(0) }},
 		{"while the store is silent", during(faults{Silent: true})},
 		{"while the store is silent about leafs", during(faults{Silent: true, Kind: "servers"})},
 		{"while the store is silent about the configuration", during(faults{Silent: true, Kind: "config"})},
