platform: a part of a configuration that cannot be used does not hide the rest

What callers would see: no daemon that starts is ready if the newest configuration holds a number like 850.5 or 4e3, a route without a service, or one field of another type.

Cause: the configuration was decoded as a whole, times as integers.

A route that cannot be used keeps its host and prefix and refuses its requests as not run, so that none goes to the services of a shorter prefix. Faults are in the log and the status.

--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -116,6 +116,9 @@
 	for _, cause := range st.NotReady {
 		out += "not ready: " + cause + "\n"
 	}
+	for _, fault := range st.ConfigFaults {
+		out += "configuration: " + fault + "\n"
+	}
 	out += fmt.Sprintf("store: watched %v, down %v", st.Watcher, st.StoreDown)
 	if st.StoreEra > 0 {
 		out += fmt.Sprintf(", era %d, %d evacuations held", st.StoreEra, st.HeldEvacuations)
--- a/pkg/core/gateway/config.go
+++ b/pkg/core/gateway/config.go
@@ -18,6 +18,8 @@
 	Limits   Limits
 	// Tenants are the holders of keys. Without any, requests need no key.
 	Tenants []*tenant.Tenant
+	// Faults say which parts of the version cannot be used, and why.
+	Faults []string
 
 	directory *tenant.Directory
 	// limitsTenants means that the requests of some tenant are limited.
@@ -56,6 +58,9 @@
 	HomeRegions []string
 	// Public routes need no key of a tenant.
 	Public bool
+	// Fault says why requests of the route cannot be served; empty if they can. They are
+	// refused as not run and not passed to the route with the next shorter prefix.
+	Fault string
 }
 
 // Target is one service of a traffic split.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/capacity"
@@ -279,7 +280,9 @@
 	Ready   bool
 	// NotReady is what the daemon lacks if it is not ready.
 	NotReady []string
-	Watcher  bool
+	// ConfigFaults are the parts of the configuration in force that cannot be used.
+	ConfigFaults []string
+	Watcher      bool
 	// WatchAge is how long ago a daemon last told that it watches the store.
 	WatchAge  time.Duration
 	StoreDown bool
@@ -346,6 +349,7 @@
 	}
 	out.LimitedPools = s.limitedPools()
 	if s.config != nil {
+		out.ConfigFaults = slices.Clone(s.config.Faults)
 		out.Tenants = len(s.config.Tenants)
 	}
 	holding := s.quota.Holding()
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -149,6 +149,10 @@
 		s.refuseOnArrival(e, QueryReport{}, RefusalNoRoute)
 		return
 	}
+	if route.Fault != "" {
+		s.refuseOnArrival(e, QueryReport{Route: route.Name}, RefusalNoConfig)
+		return
+	}
 	identity := s.config.directory.Identify(e.Credential, route.Public)
 	if identity.Denied {
 		s.refuseOnArrival(e, QueryReport{Route: route.Name}, RefusalUnauthorized)
--- a/pkg/core/gateway/refusal.go
+++ b/pkg/core/gateway/refusal.go
@@ -7,8 +7,9 @@
 
 // Refusals.
 const (
-	// RefusalNoConfig and all up to RefusalOverload promise that the request has not
-	// run and will not run later.
+	// RefusalNoConfig means that no configuration is known, or that what it says of the
+	// route cannot be used. It and all up to RefusalOverload promise that the request has
+	// not run and will not run later.
 	RefusalNoConfig Refusal = iota
 	RefusalNoServer
 	// RefusalThrottled and RefusalUnreachable are given on arrival, before anything is
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
@@ -50,6 +51,9 @@
 	f.postAdvanced(kind)
 }
 
+// maxLoggedFaults bounds the log lines about one configuration; the status has all faults.
+const maxLoggedFaults = 10
+
 // configName is the name of the object that holds the configuration.
 const configName = "main"
 
@@ -65,6 +69,9 @@
 		f.post(gateway.ConfigUnusable{Cause: err.Error()})
 		return
 	}
+	for _, fault := range c.Faults[:min(len(c.Faults), maxLoggedFaults)] {
+		f.onInvalid(KindConfig, configName, errors.New(fault))
+	}
 	f.post(gateway.ConfigSeen{Config: c, Source: source})
 }
 
--- a/test/fleet/ready_test.go
+++ b/test/fleet/ready_test.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/pistachiousher/pistachiousher/platform/standin"
 )
 
 // sizeList are the sizes of the fleets that start; by hand also 13, 15 and 82.
@@ -84,3 +87,32 @@
 		}
 	}
 }
+
+// Guards against a configuration of which a part cannot be used and that keeps a fleet from
+// serving the rest, or sends requests of that part elsewhere.
+func TestConfigurationUsableInPart(t *testing.T) {
+	s := newSite(t, 2)
+	s.store.Put("config", "main", json.RawMessage(`{"version":3,"routes":[
+		{"name":"good","host":"`+host+`","pathPrefix":"/one/","kind":"safe","timeoutMs":4000.5,"targetLatencyMs":1e3,"priority":2.0,"maxAttempts":2,"backend":"one"},
+		{"name":"bad","host":"`+host+`","pathPrefix":"/one/bad/","kind":"safe","timeoutMs":"soon","backend":"two"}],
+		"backends":[{"name":"one","maxConnections":500},{"name":"two","maxConnections":"many"}],"limits":{"maxBodyBytes":1000}}`))
+	s.startAll(0)
+	s.awaitReady(readyBound)
+	for _, d := range s.daemons {
+		for path, want := range map[string]int{"/one/x": 200, "/one/bad/x": 503, "/other/x": 404} {
+			if a := s.ask(d, path); a.Status != want {
+				t.Errorf("%s answers %s with %+v, want %d", d.name, path, a, want)
+			}
+		}
+		reply, err := d.status()
+		if err != nil || len(reply.Status.ConfigFaults) != 2 {
+			t.Errorf("%s has the faults %q, %v", d.name, reply.Status.ConfigFaults, err)
+		}
+	}
+}
+
+// ask sends a request to a daemon.
+func (s *site) ask(d *daemon, path string) standin.Answer {
+	c := &standin.Caller{Client: s.client, Host: host, Region: region}
+	return c.Ask(d.address(0), standin.Request{Method: "GET", Path: path, ID: path, Wait: time.Second})
+}
