edged: an address in use is tried again while an earlier daemon may stop

What callers would see: all daemons of a fleet end at their start if the daemons of an earlier run have not ended yet, or another process holds a port for a moment.

Cause: an address in use ended a daemon at once.

Change: it is tried again for Settings.StopTimeout, with a log line (edge_address_in_use, 1708).

--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -106,7 +106,7 @@
 // Run runs a daemon until it fails or has shut down gracefully. SIGTERM, SIGINT
 // and the end of ctx start the shutdown.
 func Run(ctx context.Context, s *Settings, p Platform, logOutput io.Writer) error {
-	listeners, err := listen(s)
+	listeners, err := listen(s, func(err error) { logAtStart(logOutput, logevent.EdgeAddressInUse, err) })
 	if err != nil {
 		LogStartFailure(logOutput, err)
 		return err
--- a/pkg/edged/listeners.go
+++ b/pkg/edged/listeners.go
@@ -1,9 +1,11 @@
 package edged
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -17,9 +19,15 @@
 	peer                                  *net.UDPConn
 }
 
-// listen opens the listeners of all configured addresses.
-func listen(s *Settings) (*listeners, error) {
+// listenRetryInterval is the pause between two attempts at an address that is in use.
+const listenRetryInterval = 50 * time.Millisecond
+
+// listen opens the listeners of all configured addresses. One that another process holds is
+// tried again for Settings.StopTimeout, in which a daemon that ran here before ends; onInUse
+// is called for it once.
+func listen(s *Settings, onInUse func(error)) (*listeners, error) {
 	l := &listeners{}
+	until := time.Now().Add(s.StopTimeout)
 	peer := s.peerAddress(s.ownIP())
 	for _, x := range []struct {
 		listener *net.Listener
@@ -28,23 +36,42 @@
 		if x.addr == "" {
 			continue
 		}
-		ln, err := inbound.Listen(x.addr, s.receiveBuffer(), max(minSendBuffer, s.receiveBuffer()))
+		err := retryInUse(until, onInUse, func() (err error) {
+			*x.listener, err = inbound.Listen(x.addr, s.receiveBuffer(), max(minSendBuffer, s.receiveBuffer()))
+			return err
+		})
 		if err != nil {
 			return nil, fmt.Errorf("edged: listen: %w", err)
 		}
-		*x.listener = ln
 	}
 	addr, err := net.ResolveUDPAddr("udp4", peer)
 	if err != nil {
 		return nil, fmt.Errorf("edged: listen: %w", err)
 	}
-	l.peer, err = net.ListenUDP("udp4", addr)
+	err = retryInUse(until, onInUse, func() (err error) {
+		l.peer, err = net.ListenUDP("udp4", addr)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("edged: listen: %w", err)
 	}
 	return l, nil
 }
 
+// retryInUse repeats open until it works, fails for another reason than an address in use, or
+// the time is over.
+func retryInUse(until time.Time, onInUse func(error), open func() error) error {
+	err := open()
+	if errors.Is(err, syscall.EADDRINUSE) {
+		onInUse(err)
+	}
+	for errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until) {
+		time.Sleep(listenRetryInterval)
+		err = open()
+	}
+	return err
+}
+
 func (d *daemon) addServers(g *run.Group, p Platform, l *listeners) {
 	d.addCallerServer(g, l.caller)
 	d.addServer(g, "ready", p.ReadyHandler(d.runtime), l.ready, maxReadyConns)
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -8,8 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/logevent"
 	"github.com/pistachiousher/pistachiousher/pkg/logwriter"
@@ -66,9 +64,12 @@
 }
 
 // LogStartFailure writes the log event of a daemon that cannot start.
-func LogStartFailure(out io.Writer, err error) {
-	w := logwriter.NewSized(out, log.ErrorLevel, nil, 1)
-	w.Write(logevent.EdgeStartFailed, []logevent.Field{logevent.Str("error", err.Error())})
+func LogStartFailure(out io.Writer, err error) { logAtStart(out, logevent.EdgeStartFailed, err) }
+
+// logAtStart writes one log event while no log writer runs.
+func logAtStart(out io.Writer, id logevent.ID, err error) {
+	w := logwriter.NewSized(out, defaultLogLevel, nil, 1)
+	w.Write(id, []logevent.Field{logevent.Str("error", err.Error())})
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	// It ends with the context's error.
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -12,6 +12,7 @@
 	EdgeReady            ID = 1705
 	EdgeNotReady         ID = 1706
 	EdgeStartFailed      ID = 1707
+	EdgeAddressInUse     ID = 1708
 	EdgeAnswered         ID = 1710
 	EdgePartial          ID = 1711
 	EdgeRefused          ID = 1712
@@ -69,6 +70,7 @@
 	{EdgeReady, "edge_ready", log.InfoLevel, "The daemon has a configuration and a list of leafs and takes requests, age_ms after its start."},
 	{EdgeNotReady, "edge_not_ready", log.WarnLevel, "The daemon has run for age_ms and takes no requests yet; detail says what it lacks and why. Written when that changes, at most every five seconds."},
 	{EdgeStartFailed, "edge_start_failed", log.ErrorLevel, "The daemon cannot start and ends; error says what it lacks."},
+	{EdgeAddressInUse, "edge_address_in_use", log.WarnLevel, "Another process holds an address of the daemon, which tries again for as long as an earlier daemon may take to stop."},
 	{EdgeAnswered, "edge_answered", log.InfoLevel, "A request was answered; calls, hedges and retries count its attempts at leafs. A late one, like all requests in lines 1711 to 1713, names in waited_for what it waited for longest, and what was known when the attempt was sent on which it waited."},
 	{EdgePartial, "edge_partial", log.InfoLevel, "A query over shards was answered without some of them; why lists service, reason and leaf of each."},
 	{EdgeRefused, "edge_refused", log.WarnLevel, "A request was not answered by a leaf, or the leaf's answer was a failure; outcome is the reason."},
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,3 +153,61 @@
 		t.Errorf("does not say %q; wrote:\n%s", want, lastLines(output))
 	}
 }
+
+// Guards against daemons that end at their start because an earlier process still holds one of
+// their addresses, and against ones that wait for it without a word or without an end.
+func TestAddressInUse(t *testing.T) {
+	hold := func(network string, port int) func(d *daemon) (io.Closer, error) {
+		return func(d *daemon) (io.Closer, error) {
+			if network == "udp" {
+				return net.ListenPacket(network, d.address(port))
+			}
+			return net.Listen(network, d.address(port))
+		}
+	}
+	for name, take := range map[string]func(d *daemon) (io.Closer, error){
+		"callers": hold("tcp", 0), "readiness": hold("tcp", 1), "directory": hold("tcp", 2), "admin": hold("tcp", 3), "views": hold("tcp", 4), "gossip": hold("udp", 4),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2)
+			freed, kept := s.daemons[0], s.daemons[1]
+			holder := map[*daemon]io.Closer{}
+			for _, d := range s.daemons {
+				h, err := take(d)
+				if err != nil {
+					t.Fatal(err)
+				}
+				holder[d] = h
+				t.Cleanup(func() { h.Close() })
+			}
+			s.startAll(0)
+			time.Sleep(stop / 2)
+			holder[freed].Close()
+			s.daemons = []*daemon{freed}
+			s.awaitReady(readyBound)
+			kept.checkEnds(stop+2*time.Second, []string{"edge_address_in_use", "edge_start_failed", "address already in use"})
+			if output := freed.output.String(); !strings.Contains(output, "edge_address_in_use") {
+				t.Errorf("waits without a word; wrote:\n%s", lastLines(output))
+			}
+		})
+	}
+}
+
+// Guards against a fleet that is not ready because the daemons that ran before have not ended
+// yet.
+func TestStartWhileEarlierDaemonsStop(t *testing.T) {
+	s := newSite(t, 14)
+	s.startAll(0)
+	s.awaitReady(readyBound)
+	for _, d := range s.daemons {
+		_ = d.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	s.startAll(0)
+	t.Logf("ready after %v", s.awaitReady(stop+readyBound))
+	for _, d := range s.daemons {
+		if d.hasExited() {
+			t.Errorf("%s has ended; wrote:\n%s", d.name, lastLines(d.output.String()))
+		}
+	}
+}
