edged, daemon: a log that nobody reads any more does not end the process

What callers would see: all daemons whose log goes through a pipe end with its reader, at their next log line.

Cause: Go ends a process with SIGPIPE when it writes to a standard output without a reader.

Measured: TestReaderOfLogEnds, with processes, failed before (2 of 2 daemons: signal: broken pipe) and passes. pistachiousherd has the same line and no test of its own.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"syscall"
 
 	"github.com/apex/log"
@@ -109,6 +110,8 @@
 	if err := o.check(); err != nil {
 		return err
 	}
+	// Without this, a write to a log that nobody reads any more ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	listeners, err := listen(o.Listen)
 	if err != nil {
 		return err
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -10,9 +10,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os/signal"
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -106,6 +108,8 @@
 // Run runs a daemon until it fails or has shut down gracefully. SIGTERM, SIGINT
 // and the end of ctx start the shutdown.
 func Run(ctx context.Context, s *Settings, p Platform, logOutput io.Writer) error {
+	// Without this, a write to a log that nobody reads any more ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	listeners, err := listen(s, func(err error) { logAtStart(logOutput, logevent.EdgeAddressInUse, err) })
 	if err != nil {
 		LogStartFailure(logOutput, err)
--- a/test/fleet/ready_test.go
+++ b/test/fleet/ready_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"testing"
@@ -111,6 +113,33 @@
 	}
 }
 
+// Guards against daemons that end because nobody reads their log any more.
+func TestReaderOfLogEnds(t *testing.T) {
+	s := newSite(t, 2)
+	for _, d := range s.daemons {
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(program, "-settings", d.settingsPath)
+		cmd.Stdout, cmd.Stderr = writer, writer
+		d.run(cmd)
+		writer.Close()
+		reader.Close()
+	}
+	s.awaitReady(readyBound)
+	// Each change is a log line.
+	for version := range uint64(5) {
+		s.store.PutConfig(configuration(2 + version))
+		time.Sleep(300 * time.Millisecond)
+	}
+	for _, d := range s.daemons {
+		if d.hasExited() || !d.isReady() {
+			t.Errorf("%s: ended %v (%v)", d.name, d.hasExited(), d.cmd.ProcessState)
+		}
+	}
+}
+
 // ask sends a request to a daemon.
 func (s *site) ask(d *daemon, path string) standin.Answer {
 	c := &standin.Caller{Client: s.client, Host: host, Region: region}
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -186,7 +186,9 @@
 func (d *daemon) run(cmd *exec.Cmd) {
 	t := d.site.t
 	t.Helper()
-	cmd.Stdout, cmd.Stderr = &d.output, &d.output
+	if cmd.Stdout == nil {
+		cmd.Stdout, cmd.Stderr = &d.output, &d.output
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
