logwriter: the log goes on after a failed write

What operators would see: no log line of a daemon after a single write that failed, as on a disk that was full for a moment.

Cause: bufio.Writer keeps its first error.

Change: the buffer is reset.

Measured: TestLogGoesOnAfterFailedWrite failed before (nothing is written after the output works again) and passes.

--- a/pkg/logwriter/logwriter.go
+++ b/pkg/logwriter/logwriter.go
@@ -31,7 +31,9 @@
 // lines are dropped and counted, since the event loop must not wait for the
 // output.
 type Writer struct {
-	lines   chan line
+	lines chan line
+	// output is what out writes to.
+	output  io.Writer
 	out     *bufio.Writer
 	handler log.Handler
 	level   log.Level
@@ -57,6 +59,7 @@
 	out := bufio.NewWriterSize(w, bufferBytes)
 	return &Writer{
 		lines:   make(chan line, size),
+		output:  w,
 		out:     out,
 		handler: jsonhandler.New(out),
 		level:   level,
@@ -155,5 +158,7 @@
 func (w *Writer) flush() {
 	if err := w.out.Flush(); err != nil {
 		w.dropped.Add(1)
+		// A bufio.Writer that failed once writes nothing until it is reset.
+		w.out.Reset(w.output)
 	}
 }
--- a/pkg/logwriter/logwriter_test.go
+++ b/pkg/logwriter/logwriter_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,3 +62,53 @@
 		t.Error("Run still waits for the blocked output after ctx ended")
 	}
 }
+
+// failingWriter fails while broken is set.
+type failingWriter struct {
+	broken atomic.Bool
+	mu     sync.Mutex
+	text   strings.Builder
+}
+
+// Write implements io.Writer.
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.broken.Load() {
+		return 0, errors.New("no space left on device")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func (w *failingWriter) contains(text string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Contains(w.text.String(), text)
+}
+
+// Guards against a log that stays empty for good after its output failed once, as on a full disk.
+func TestLogGoesOnAfterFailedWrite(t *testing.T) {
+	out := &failingWriter{}
+	out.broken.Store(true)
+	w := New(out, log.InfoLevel, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = w.Run(ctx)
+	}()
+	defer func() { cancel(); <-ended }()
+	w.Write(logevent.EdgeStarted, []logevent.Field{logevent.Str("vm", "while-broken")})
+	for begin := time.Now(); w.Dropped() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the failed write is not counted")
+		}
+	}
+	out.broken.Store(false)
+	for begin := time.Now(); !out.contains("afterwards"); time.Sleep(10 * time.Millisecond) {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("nothing is written after the output works again")
+		}
+		w.Write(logevent.EdgeStarted, []logevent.Field{logevent.Str("vm", "afterwards")})
+	}
+}
