gateway: callers are sent only to daemons that have told of themselves recently

Cause: a daemon kept its role for twice roleSilence while older entries of it still arrived.

Change: an answer names daemons that have told of themselves within roleSilence, and those next in line in place of others. Named daemons tell 8 more daemons of themselves in large fleets, as watchers did, so that lists of a calm fleet stay the same.

--- a/pkg/core/gateway/active.go
+++ b/pkg/core/gateway/active.go
@@ -42,8 +42,21 @@
 	return chosen
 }
 
+// nameable returns the daemons that the directory names: the active ones, with those next in
+// line in place of daemons that may be active but have not told of themselves recently.
+func (s *State) nameable(regions []string) []DaemonEntry {
+	chosen, _ := s.choose(regions, s.isNameable)
+	return chosen
+}
+
 // activeAndSpare returns the active daemons, all of them responsive, and those next in line.
 func (s *State) activeAndSpare(regions []string) (chosen, spare []DaemonEntry) {
+	return s.choose(regions, s.isResponsive)
+}
+
+// choose returns the daemons that callers are sent to, of those that fulfil a condition, and
+// those next in line. This daemon fulfils it.
+func (s *State) choose(regions []string, isCandidate func(*daemon) bool) (chosen, spare []DaemonEntry) {
 	var byClass [sizeClasses]map[string][]DaemonEntry
 	calls := 0
 	for _, e := range s.readyDaemons() {
@@ -71,8 +84,9 @@
 				}
 				more = true
 				enough = enough || enoughActive(chosen, class, calls)
+				other, isOther := s.daemons[list[turn].Name]
 				switch {
-				case !enough && s.isResponsiveEntry(list[turn]):
+				case !enough && (!isOther || isCandidate(other)):
 					chosen = append(chosen, list[turn])
 				case len(spare) < spareActive:
 					spare = append(spare, list[turn])
@@ -85,12 +99,6 @@
 	return chosen, spare
 }
 
-// isResponsiveEntry reports whether an entry is that of this daemon or of a responsive one.
-func (s *State) isResponsiveEntry(e DaemonEntry) bool {
-	d, ok := s.daemons[e.Name]
-	return !ok || s.isResponsive(d)
-}
-
 // enoughActive reports whether callers need no daemons beyond those chosen, if the next
 // one is of nextClass. Callers use all addresses equally often, so the weakest VM
 // determines the capacity. A daemon on a VM weaker than all others would be late with
@@ -191,14 +199,18 @@
 	for name, d := range s.daemons {
 		d.active = names[name]
 	}
+	s.members.selfNamed = s.members.selfActive
 	first := append(active, spare...)
 	for _, region := range s.regions() {
 		chosen, spare := s.activeAndSpare([]string{region})
+		s.members.selfNamed = s.members.selfNamed || slices.ContainsFunc(chosen, s.isSelf)
 		first = append(append(first, chosen...), spare...)
 	}
 	s.relayFirst(first)
 }
 
+func (s *State) isSelf(e DaemonEntry) bool { return e.Name == s.opt.Self.Name }
+
 // regions returns the regions of the deployment if there are several.
 func (s *State) regions() []string {
 	names := slices.Compact(slices.Sorted(maps.Values(s.opt.RegionOf)))
--- a/pkg/core/gateway/directory.go
+++ b/pkg/core/gateway/directory.go
@@ -21,7 +21,7 @@
 	if s.ownDomainCutOff() {
 		return nil
 	}
-	active := s.active(s.directoryRegions(host, region))
+	active := s.nameable(s.directoryRegions(host, region))
 	out := make([]string, 0, len(active))
 	for _, e := range active {
 		out = append(out, e.CallerAddress)
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -119,16 +119,16 @@
 	s.confirmView()
 	s.refreshView()
 	s.emitGossip(s.gossipTargets(), s.gossipEntries(), s.ownSections())
-	s.tellOfWatch()
+	s.tellOfRole()
 }
 
-// tellOfWatch sends the entry of a daemon that watches the store in a large fleet to more
-// daemons, so that all hear it before they expect another one to watch.
-func (s *State) tellOfWatch() {
-	if !s.members.watcher || !s.largeFleet() {
+// tellOfRole sends the entry of a daemon that watches the store, or is named to callers, in a
+// large fleet to more daemons, so that all hear it before they give its role to another one.
+func (s *State) tellOfRole() {
+	if !s.members.watcher && !s.members.selfNamed || !s.largeFleet() {
 		return
 	}
-	s.emitGossip(s.randomSample(s.peerAddresses(), watcherGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
+	s.emitGossip(s.randomSample(s.peerAddresses(), roleGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
 }
 
 // nextGossipTime returns when the next message is due.
--- a/pkg/core/gateway/liveness.go
+++ b/pkg/core/gateway/liveness.go
@@ -31,6 +31,10 @@
 	return kept || s.toldWithin(d, silence)
 }
 
+// isNameable reports whether callers may be sent to a daemon: it has told of itself recently.
+// Unlike a role, that does not last longer because older entries of it still arrive.
+func (s *State) isNameable(d *daemon) bool { return s.toldWithin(d, s.roleSilence()) }
+
 // toldWithin reports whether a daemon has told of itself within a time.
 func (s *State) toldWithin(d *daemon, silence time.Duration) bool {
 	return !d.silent && d.heardAt > 0 && s.now.Sub(d.toldAt) < silence
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -21,9 +21,9 @@
 	// daemon's failure domain and in others, that get a message in large fleets.
 	nearGossipTargets = 2
 	farGossipTargets  = 1
-	// watcherGossipTargets is the number of further daemons that get the entry of one that
-	// watches the store, in large fleets.
-	watcherGossipTargets = 8
+	// roleGossipTargets is the number of further daemons that get the entry of one with a role,
+	// in large fleets.
+	roleGossipTargets = 8
 	// maxGossipEntries is the number of other daemons that a message describes in large
 	// fleets, those with a role first.
 	maxGossipEntries = 20
@@ -195,9 +195,11 @@
 	// quotaShare is this daemon's share of the quotas that all daemons divide among
 	// themselves; 0 if not yet computed.
 	quotaShare float64
-	// selfActive means that callers are sent to this daemon; writerTurn is its place, from
-	// 0, in the order in which daemons write verdicts of roll-outs.
+	// selfActive means that callers without a region are sent to this daemon, selfNamed that
+	// those of any region are; writerTurn is its place, from 0, in the order in which daemons
+	// write verdicts of roll-outs.
 	selfActive bool
+	selfNamed  bool
 	writerTurn int
 	// watcher means that this daemon watches the store.
 	watcher bool
--- a/pkg/core/gateway/watchers.go
+++ b/pkg/core/gateway/watchers.go
@@ -98,7 +98,7 @@
 
 // placeOfSelf returns this daemon's place in an order.
 func (s *State) placeOfSelf(order []DaemonEntry) int {
-	return slices.IndexFunc(order, func(e DaemonEntry) bool { return e.Name == s.opt.Self.Name })
+	return slices.IndexFunc(order, s.isSelf)
 }
 
 // StoreRank returns this daemon's place, from 0, among the daemons that may watch the store,
--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -157,6 +157,18 @@
 	})
 }
 
+// Guards against callers that are sent to daemons that ended half of the allowed time before:
+// the other half is for slow machines and for entries that wait on their way (DRAIN).
+func TestDirectoryAtHalfOfBound(t *testing.T) {
+	eachSize(t, func(t *testing.T, f *modelFleet) {
+		for _, lost := range []int{1, 9, len(f.daemons) / 2} {
+			f.kill(f.firstInLine(lost))
+			time.Sleep((f.contact + 3*time.Second) / 2)
+			f.checkDirectory(fmt.Sprintf("half of the bound after the loss of %d more", lost))
+		}
+	})
+}
+
 // Guards against a fleet that nobody tells of changes because those that watch the store have
 // left in a planned way and are still taken for living (CONFIG, DRAIN, EVAC).
 func TestChangesAfterWatchersLeave(t *testing.T) {
