edge: a daemon that was paused does not take what it knew for fresh

What callers see: after a pause of 11 s a daemon names, for about 3 s, daemons that ended 10 s before.

Cause: the reducer's time is that of its last event, and messages that waited in the socket counted as told when they were read.

Change: the directory answers at the present time; the wait of a message, by the lag probe, is added to the age of its entries; the probe counts its own timer when that fires late. After a pause a daemon that has heard of no other since answers no caller for a while.

--- a/pkg/core/gateway/directory.go
+++ b/pkg/core/gateway/directory.go
@@ -14,11 +14,11 @@
 
 // Directory returns the addresses that callers from a region may use for a host: those
 // of the active daemons in the home regions of the host's routes or in the caller's own
-// region. It is empty if there are none, or if this daemon is cut off from other
-// failure domains: callers then keep the addresses that they have, which may lead to
-// other domains.
+// region. It is empty if there are none, if this daemon is cut off from other failure domains,
+// or if it has just run again after a pause and has heard of no other daemon since: callers
+// then ask another daemon or keep the addresses that they have, which may lead to other domains.
 func (s *State) Directory(host, region string) []string {
-	if s.ownDomainCutOff() {
+	if s.ownDomainCutOff() || s.isUninformed() {
 		return nil
 	}
 	active := s.nameable(s.directoryRegions(host, region))
@@ -29,6 +29,20 @@
 	return out[:min(len(out), maxAddresses)]
 }
 
+// isUninformed reports whether this daemon did not run for a while, no longer ago than others
+// are believed, and none of the other daemons has told of itself since.
+func (s *State) isUninformed() bool {
+	if s.stalledAt == 0 || s.now.Sub(s.stalledAt) >= s.roleSilence() {
+		return false
+	}
+	for _, d := range s.daemons {
+		if s.isNameable(d) {
+			return false
+		}
+	}
+	return len(s.daemons) > 0
+}
+
 // ownDomainCutOff reports whether this daemon's failure domain seems to be cut off from
 // all others: their daemons are silent, connections to their leafs fail, and none of
 // these leafs answers.
--- a/pkg/core/gateway/directory_test.go
+++ b/pkg/core/gateway/directory_test.go
@@ -55,3 +55,50 @@
 		h.advance(interval)
 	}
 }
+
+// Guards against a daemon that was paused and sends callers to others by what it knew before,
+// by messages that waited to be read, or to itself alone.
+func TestDirectoryAfterPause(t *testing.T) {
+	const pause = 10 * time.Second
+	fleet := func() *harness {
+		h := newLargeFleet(t, 30)
+		if got := h.s.Directory("h", ""); len(got) < minActiveDaemons {
+			t.Fatalf("callers are sent to %v", got)
+		}
+		return h
+	}
+	t.Run("known before", func(t *testing.T) {
+		h := fleet()
+		h.s.Step(h.s.now.Add(pause), Tick{})
+		if got := h.s.Directory("h", ""); len(got) > 0 {
+			t.Errorf("callers are sent to %v", got)
+		}
+		h.hearFleet(30, 3)
+		if got := h.s.Directory("h", ""); len(got) < minActiveDaemons {
+			t.Errorf("after others were heard callers are sent to %v", got)
+		}
+	})
+	t.Run("told before", func(t *testing.T) {
+		h := fleet()
+		var entries []DaemonEntry
+		for _, e := range activeAndNext(h) {
+			if e.Name != h.s.opt.Self.Name {
+				e.Counter = 3
+				entries = append(entries, e)
+			}
+		}
+		h.s.Step(h.s.now.Add(pause), GossipReceived{Daemons: entries, Waited: pause})
+		if got := h.s.Directory("h", ""); len(got) > 0 {
+			t.Errorf("callers are sent to %v", got)
+		}
+	})
+	t.Run("alone", func(t *testing.T) {
+		h := fleet()
+		for range 2 * pause / time.Second {
+			h.advance(time.Second)
+		}
+		if got := h.s.Directory("h", ""); len(got) != 1 {
+			t.Errorf("a daemon that hears nobody for long sends callers to %v, want itself", got)
+		}
+	})
+}
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -103,6 +103,8 @@
 	Daemons []DaemonEntry
 	// Sections are those of the sender.
 	Sections Sections
+	// Waited is the longest time for which the message may have waited to be read.
+	Waited time.Duration
 }
 
 // ConfigUnusable says why no configuration came from the store: it has none, or one that
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -81,6 +81,9 @@
 	stopping      bool
 	// stopEndsAt is when a stopping daemon gives its last answers.
 	stopEndsAt model.Time
+	// stalledAt is when this daemon last ran again after it had not run, or not read what it
+	// was sent, for Options.MaxSilence; 0 if it never did.
+	stalledAt model.Time
 	// lastLag is how long the last request may have waited in this daemon on its arrival.
 	lastLag time.Duration
 	// lapsed is the number of leafs that are kept although their entries are
@@ -115,6 +118,7 @@
 // Step applies one event and does what is due at the given time. The returned slice is
 // valid until the next call.
 func (s *State) Step(now model.Time, e Event) []Effect {
+	s.noteStall(now)
 	s.now = max(s.now, now)
 	clear(s.effects)
 	s.effects = s.effects[:0]
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -11,7 +11,11 @@
 
 func (s *State) gossipReceived(e GossipReceived) {
 	s.noteRelays(e.Daemons)
+	if e.Waited >= s.opt.MaxSilence {
+		s.stalledAt = s.now
+	}
 	for _, entry := range e.Daemons {
+		entry.Age += e.Waited
 		s.mergeEntry(entry, true)
 	}
 	s.sectionsReceived(e)
--- a/pkg/core/gateway/liveness.go
+++ b/pkg/core/gateway/liveness.go
@@ -15,6 +15,14 @@
 	return s.opt.MaxSilence
 }
 
+// noteStall records that the reducer takes its next step so late that the daemon cannot have
+// run in between: it gossips more often.
+func (s *State) noteStall(now model.Time) {
+	if now.Sub(s.now) >= s.opt.MaxSilence {
+		s.stalledAt = now
+	}
+}
+
 // entriesAreRelayed reports whether other daemons are heard by way of third ones, because
 // this daemon or another one takes the fleet for a large one.
 func (s *State) entriesAreRelayed() bool {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -188,6 +188,9 @@
 func (r *Runtime) Directory(host, region string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Without a step, the reducer's time is that of the last event, which is long ago if the
+	// process was paused.
+	r.postLocked(gateway.Tick{})
 	return r.core.Directory(host, region)
 }
 
--- a/pkg/edge/fakestore_test.go
+++ b/pkg/edge/fakestore_test.go
@@ -237,3 +237,6 @@
 	s.put("a", "1")
 	return s
 }
+
+// noLag is the lag of a process that reads at once.
+func noLag() time.Duration { return 0 }
--- a/pkg/edge/lag.go
+++ b/pkg/edge/lag.go
@@ -40,9 +40,9 @@
 	nextSend time.Time
 	lastCall time.Time
 	timer    *time.Timer
-	// lastLag is the delay of the byte that was read last, at lastReadAt.
-	lastLag    time.Duration
-	lastReadAt time.Time
+	// lastLag is the delay of a byte that was read, or sent, late at lastLagAt.
+	lastLag   time.Duration
+	lastLagAt time.Time
 }
 
 // NewLagProbe returns a probe that measures while Run runs.
@@ -82,6 +82,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	if !p.nextSend.IsZero() {
+		p.recordDelay(now, now.Sub(p.nextSend))
+	}
 	if now.Sub(p.lastCall) > lagIdleTimeout {
 		p.nextSend = time.Time{}
 		return
@@ -116,29 +119,39 @@
 	if n == 0 {
 		return
 	}
-	p.lastReadAt = p.now()
-	p.lastLag = p.lastReadAt.Sub(p.sentAt[0])
+	now := p.now()
+	p.recordDelay(now, now.Sub(p.sentAt[0]))
 	p.sentAt = append(p.sentAt[:0], p.sentAt[n:]...)
 }
 
+// recordDelay records that the process did something late, which Lag reports for lagHoldTime
+// unless it reports a longer delay. The caller holds the lock.
+func (p *LagProbe) recordDelay(now time.Time, delay time.Duration) {
+	if delay >= p.lastLag || now.Sub(p.lastLagAt) >= lagHoldTime {
+		p.lastLag, p.lastLagAt = delay, now
+	}
+}
+
 // Lag returns the longest time for which bytes that are read now may have waited, 0 if
-// that is below minLag or the probe has just started.
+// that is below minLag or the probe has just started. It counts a timer that fired late: the
+// bytes that came while the process did not run are read after it.
 func (p *LagProbe) Lag() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	p.lastCall = now
+	lag := time.Duration(0)
+	if now.Sub(p.lastLagAt) < lagHoldTime {
+		lag = p.lastLag
+	}
 	if p.nextSend.IsZero() {
 		p.sendByte(now)
-		return 0
+	} else {
+		lag = max(lag, now.Sub(p.nextSend))
 	}
-	lag := now.Sub(p.nextSend)
 	if len(p.sentAt) > 0 {
 		lag = max(lag, now.Sub(p.sentAt[0]))
 	}
-	if !p.lastReadAt.IsZero() && now.Sub(p.lastReadAt) < lagHoldTime {
-		lag = max(lag, p.lastLag)
-	}
 	if lag < minLag {
 		return 0
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -48,6 +48,8 @@
 	follower *Follower
 	onError  func(peer string, err error)
 	traffic  PeerTraffic
+	// lag returns the longest time for which bytes that are read now may have waited.
+	lag func() time.Duration
 	// capacities returns what this daemon has learned about leafs; nil if it is not shared.
 	capacities func() []gateway.LeafCapacity
 }
@@ -62,10 +64,11 @@
 func (p *Peers) Traffic() *PeerTraffic { return &p.traffic }
 
 // NewPeers returns the link to the other daemons over an open socket. onError is called
-// with the peer's address, empty if it is not known, and the error.
-func NewPeers(socket *net.UDPConn, post func(gateway.Event), f *Follower, onError func(string, error)) *Peers {
+// with the peer's address, empty if it is not known, and the error. lag returns the longest
+// time for which bytes that are read now may have waited.
+func NewPeers(socket *net.UDPConn, post func(gateway.Event), f *Follower, lag func() time.Duration, onError func(string, error)) *Peers {
 	return &Peers{
-		socket: socket, post: post, follower: f, onError: onError,
+		socket: socket, post: post, follower: f, lag: lag, onError: onError,
 		client: &http.Client{Transport: answers.Transport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxReplyHeaderBytes})},
 	}
 }
@@ -104,10 +107,12 @@
 			p.onError("", err)
 			continue
 		}
+		waited := p.lag()
 		p.traffic.GossipReceived.Add(uint64(n))
 		err = catchPanic(func() error {
 			message, err := decodeGossip(buffer[:n])
 			if err == nil {
+				message.Waited = waited
 				p.post(message)
 			}
 			return err
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -182,7 +182,7 @@
 	})
 	registerStatus(d.registry, d.status, d.log.Dropped)
 	registerLoad(d.registry, d.budget.Used, d.headBudget.Used, lagProbe.Lag)
-	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, d.logPeerFailure)
+	d.peers = edge.NewPeers(l.peer, d.runtime.Post, d.follower, lagProbe.Lag, d.logPeerFailure)
 	d.peers.ShareCapacities(func() (out []gateway.LeafCapacity) {
 		d.runtime.Inspect(func(s *gateway.State) { out = s.LeafCapacities() })
 		return out
--- a/test/fleet/directory_test.go
+++ b/test/fleet/directory_test.go
@@ -98,3 +98,46 @@
 		}
 	}
 }
+
+// Guards against a daemon that was paused and, when it runs again, sends callers to daemons
+// that ended meanwhile: what was sent to it before waits to be read, and its clock stood still.
+func TestDirectoryOfPausedDaemon(t *testing.T) {
+	const pause = namingBound + 2*time.Second
+	s := newSite(t, 14)
+	s.startAll(0)
+	s.awaitReady(readyBound)
+	time.Sleep(contact)
+	paused, gone := s.daemons[0], s.daemons[1]
+	if addresses := paused.resolve(); !slices.Contains(addresses, gone.address(0)) {
+		t.Fatalf("%s names %v, want also %s", paused.name, addresses, gone.name)
+	}
+	signal := func(number syscall.Signal) {
+		if err := paused.cmd.Process.Signal(number); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signal(syscall.SIGSTOP)
+	time.Sleep(time.Second)
+	gone.kill()
+	ended := time.Now()
+	time.Sleep(pause)
+	signal(syscall.SIGCONT)
+	resumed, answers, late := time.Now(), 0, 0
+	for time.Since(resumed) < contact {
+		at := time.Now()
+		addresses := paused.resolve()
+		if len(addresses) > 0 {
+			answers++
+		}
+		if slices.Contains(addresses, gone.address(0)) {
+			if late++; late == 1 {
+				t.Errorf("%v after the pause callers are sent to %s, which ended %v before", at.Sub(resumed), gone.name, at.Sub(ended))
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("%d answers, %d with the daemon that ended", answers, late)
+	if answers == 0 {
+		t.Error("the daemon answers no caller after a pause")
+	}
+}
