gateway: a daemon that has taken over the watch of the store keeps it until it is relieved

What callers could see: after the first nine daemons in line were lost, nobody watches the store at a moment 4.0 to 4.3 s later, so that one more fault would not be borne.

Cause: a successor hears its own claim, ranks itself among all that still count as responsive, finds those that were lost before it, and stops.

Change: a daemon that watches goes on until as many as are to watch come before it in the order and have told recently that they do.

--- a/pkg/core/gateway/watchers.go
+++ b/pkg/core/gateway/watchers.go
@@ -109,11 +109,11 @@
 }
 
 // updateWatcher decides whether this daemon watches the store: if it is one of the first
-// that may, or if it leaves and has watched so far.
+// that may, or if it has watched so far and leaves or is not relieved.
 func (s *State) updateWatcher() {
 	m := &s.members
 	order := s.watchOrder()
-	watcher := s.placeOfSelf(order) < maxWatchers || s.stopping && m.watcher
+	watcher := s.placeOfSelf(order) < maxWatchers || m.watcher && (s.stopping || !s.isRelieved(order))
 	if s.now < model.Time(watcherStartDelay) && !s.opt.IsSeed {
 		watcher = false
 	}
@@ -129,6 +129,19 @@
 	s.logWatchers(order[:min(len(order), maxWatchers)])
 }
 
+// isRelieved reports whether as many daemons as are to watch the store come before this one in
+// the order and have told recently that they do. Without that, a daemon that has taken over from
+// others that were lost would give the watch back to them while they still count as responsive.
+func (s *State) isRelieved(order []DaemonEntry) bool {
+	watching := 0
+	for _, e := range order[:s.placeOfSelf(order)] {
+		if d := s.daemons[e.Name]; d.Watching && s.toldWithin(d, s.watchSilence()) {
+			watching++
+		}
+	}
+	return watching >= maxWatchers
+}
+
 // watchOrder returns the daemons that may watch the store in the order in which they are to.
 // While no daemon is heard that watches, only those count that have told of themselves since:
 // the others may have been lost together with the watchers.
