child: one place for the output of a process and for building the edge daemon

Cause: three tests had a buffer of their own for the output of a daemon and three compiled it in the same six lines.

Change: child.Output and child.BuildEdge. No assertion is changed.

--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -1,14 +1,12 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 	"github.com/pistachiousher/pistachiousher/pkg/peer"
 	"github.com/pistachiousher/pistachiousher/pkg/runtime"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 )
 
 // fakeCore answers a query at once, except one with the text "hold", which it
@@ -57,24 +56,6 @@
 	return model.DaemonStatus{Reason: "no lease", Owned: 4}
 }
 
-// syncBuffer is a log output that a test may read while it is written.
-type syncBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *syncBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *syncBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // startDaemon runs a daemon and returns, once it listens, its addresses and the
 // channel that gets the result of Run.
 func startDaemon(t *testing.T, ctx context.Context, out io.Writer) (Addresses, <-chan error) {
@@ -141,7 +122,7 @@
 func TestDaemonServes(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	out := new(syncBuffer)
+	out := new(child.Output)
 	a, done := startDaemon(t, ctx, out)
 	answer, versions, err := new(api.Client).Query(ctx, a.Caller, "racuni", queryRequest("q"))
 	if err != nil || !answer.Complete || versions != (api.Versions{Bundle: 7, Epoch: 8}) {
--- a/pkg/edged/harness_test.go
+++ b/pkg/edged/harness_test.go
@@ -1,7 +1,6 @@
 package edged_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,7 +9,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -104,7 +102,7 @@
 	settingsText string
 	cancel       context.CancelFunc
 	done         chan struct{}
-	log          *lockedBuffer
+	log          *child.Output
 	// logOutput receives the log instead of the field log, if set.
 	logOutput io.Writer
 	client    *http.Client
@@ -112,25 +110,6 @@
 	adapter *edged.Platform
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-// String returns everything written so far.
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // daemon starts the n-th daemon at 127.0.0.n.
 func (s *site) daemon(n int) *daemon {
 	s.t.Helper()
@@ -159,7 +138,7 @@
 
 func (d *daemon) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	d.cancel, d.done, d.log = cancel, make(chan struct{}), &lockedBuffer{}
+	d.cancel, d.done, d.log = cancel, make(chan struct{}), &child.Output{}
 	done, out := d.done, io.Writer(d.log)
 	adapter := platform.Adapter()
 	if d.adapter != nil {
--- a/standin/child/child.go
+++ b/standin/child/child.go
@@ -48,6 +48,16 @@
 	return nil
 }
 
+// BuildEdge compiles the edge daemon into dir and returns the path of the program.
+func BuildEdge(dir string) (string, error) {
+	program := filepath.Join(dir, "pistachiousher-edge")
+	cmd := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/pistachiousher/pistachiousher/cmd/pistachiousher-edge")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: go build: %w\n%s", ErrProcess, err, out)
+	}
+	return program, nil
+}
+
 // Process is a started process.
 type Process struct {
 	cmd  *exec.Cmd
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -3,7 +3,6 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -37,10 +36,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program = filepath.Join(dir, "pistachiousher-edge")
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/pistachiousher/pistachiousher/cmd/pistachiousher-edge")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+	if program, err = child.BuildEdge(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
@@ -79,32 +76,12 @@
 	cores        float64
 	settingsPath string
 	// output is what all processes of the daemon have written.
-	output lockedBuffer
+	output child.Output
 
 	cmd    *exec.Cmd
 	exited chan struct{}
 }
 
-// lockedBuffer is a bytes.Buffer that is safe for concurrent use.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-// String returns everything written so far.
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // newSite returns a site with a store and a configuration, whose daemons are not started. The
 // first two daemons of each domain are on large VMs.
 func newSite(t *testing.T, size int) *site {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +17,7 @@
 
 	"github.com/pistachiousher/pistachiousher/pkg/edge"
 	"github.com/pistachiousher/pistachiousher/platform/standin"
+	"github.com/pistachiousher/pistachiousher/standin/child"
 	"github.com/pistachiousher/pistachiousher/standin/proxy"
 )
 
@@ -49,10 +48,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	program = filepath.Join(dir, "pistachiousher-edge")
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/pistachiousher/pistachiousher/cmd/pistachiousher-edge")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+	if program, err = child.BuildEdge(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
--- a/test/untrusted/daemon_test.go
+++ b/test/untrusted/daemon_test.go
@@ -66,10 +66,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program = filepath.Join(dir, "pistachiousher-edge")
-	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/pistachiousher/pistachiousher/cmd/pistachiousher-edge")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+	if program, err = child.BuildEdge(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
