--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -122,17 +122,23 @@
 	s.fetchView()
 	s.confirmView()
 	s.refreshView()
-	s.emitGossip(s.gossipTargets(), s.gossipEntries(), s.ownSections())
-	s.tellOfRole()
+	to, sections := s.gossipTargets(), s.ownSections()
+	told := slices.Concat(to, s.directTargets(to, sections))
+	s.emitGossip(to, s.gossipEntries(), sections)
+	s.tellOfRole(told)
 }
 
 // tellOfRole sends the entry of a daemon that watches the store, or is named to callers, in a
-// large fleet to more daemons, so that all hear it before they give its role to another one.
-func (s *State) tellOfRole() {
+// large fleet to more daemons than the message before it, so that all hear it before they give
+// its role to another one. Those that need its sections were told directly: it goes without.
+func (s *State) tellOfRole(told []string) {
 	if !s.members.watcher && !s.members.selfNamed || !s.largeFleet() {
 		return
 	}
-	s.emitGossip(s.randomSample(s.peerAddresses(), roleGossipTargets), []DaemonEntry{s.self()}, s.ownSections())
+	others := slices.DeleteFunc(s.peerAddresses(), func(address string) bool { return slices.Contains(told, address) })
+	if to := s.randomSample(others, roleGossipTargets); len(to) > 0 {
+		s.emit(Gossip{To: to, Daemons: []DaemonEntry{s.self()}})
+	}
 }
 
 // nextGossipTime returns when the next message is due.
