standin: the configuration that is usable in part stands with the platform's words

Cause: test/fleet wrote the fields of the users' platform itself, which only platform/ may.

Change: PutPartlyUsableConfig of the stand-in has the same text. No assertion is changed.

Measured: TestConfigurationUsableInPart and TestStartFailureIsExplained pass.

--- a/test/fleet/ready_test.go
+++ b/test/fleet/ready_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -94,10 +93,7 @@
 // serving the rest, or sends requests of that part elsewhere.
 func TestConfigurationUsableInPart(t *testing.T) {
 	s := newSite(t, 2)
-	s.store.Put("config", "main", json.RawMessage(`{"version":3,"routes":[
-		{"name":"good","host":"`+host+`","pathPrefix":"/one/","kind":"safe","timeoutMs":4000.5,"targetLatencyMs":1e3,"priority":2.0,"maxAttempts":2,"backend":"one"},
-		{"name":"bad","host":"`+host+`","pathPrefix":"/one/bad/","kind":"safe","timeoutMs":"soon","backend":"two"}],
-		"backends":[{"name":"one","maxConnections":500},{"name":"two","maxConnections":"many"}],"limits":{"maxBodyBytes":1000}}`))
+	s.store.PutPartlyUsableConfig(host, "/one/", "one", "/one/bad/", "two")
 	s.startAll(0)
 	s.awaitReady(readyBound)
 	for _, d := range s.daemons {
