gateway, edge: refusals and versions say where the configuration came from

Lines of refused requests now have config_from, config_by, config_age_ms and watch_age_ms.

The reducer's decisions are the same.

--- a/measure/fleet/store.go
+++ b/measure/fleet/store.go
@@ -82,7 +82,7 @@
 // takeView applies a configuration and the list of leafs.
 func (d *daemon) takeView(c *gateway.Config, revision uint64, source string) {
 	copied := *c
-	d.step(gateway.ConfigSeen{Config: &copied, Source: source})
+	d.step(gateway.ConfigSeen{Config: &copied, Source: gateway.ViewSource{Call: source}})
 	if revision > d.viewRevision {
 		d.viewRevision = revision
 		d.step(gateway.ServersListed{Servers: d.w.store.servers})
--- a/pkg/core/gateway/admissions_test.go
+++ b/pkg/core/gateway/admissions_test.go
@@ -16,7 +16,7 @@
 	for _, name := range []string{"a", "b", "c"} {
 		tenants = append(tenants, &tenant.Tenant{Name: name, Keys: []tenant.KeyHash{tenant.HashKey(name)}})
 	}
-	h.step(ConfigSeen{Config: &Config{Version: 1, Routes: []*Route{route}, Services: map[string]ServiceConfig{"s": {MaxConnections: connections}}, Tenants: tenants}, Source: "test"})
+	h.step(ConfigSeen{Config: &Config{Version: 1, Routes: []*Route{route}, Services: map[string]ServiceConfig{"s": {MaxConnections: connections}}, Tenants: tenants}, Source: ViewSource{Call: "test"}})
 	h.listLeafs(1, "s")
 	return h, func(name string) QueryID {
 		h.lastQuery++
--- a/pkg/core/gateway/answer.go
+++ b/pkg/core/gateway/answer.go
@@ -14,6 +14,7 @@
 func (s *State) refuseWith(e RequestArrived, report QueryReport, reason Refusal, retryAfter time.Duration) {
 	s.emit(Refuse{Query: e.Query, Reason: reason, RetryAfter: retryAfter})
 	report.RequestID, report.Outcome, report.ConfigVersion, report.ViewAge = e.RequestID, reason.String(), s.Version(), s.viewAge()
+	report.ConfigOrigin = s.configOrigin(s.config)
 	report.Wait = &WaitReport{Cause: WaitCause(reason.String()), Lag: s.lastLag, QuotaShare: s.quotaShare()}
 	s.emit(Log{Kind: LogQueryRefused, Query: &report, Detail: e.Host + e.Path})
 }
--- a/pkg/core/gateway/config.go
+++ b/pkg/core/gateway/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
+	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
 // Config is one version of the operator's configuration. It must not be changed after
@@ -21,6 +22,10 @@
 	// Faults say which parts of the version cannot be used, and why.
 	Faults []string
 
+	// source and appliedAt say from where and when it came into force.
+	source    ViewSource
+	appliedAt model.Time
+
 	directory *tenant.Directory
 	// limitsTenants means that the requests of some tenant are limited.
 	limitsTenants bool
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -90,8 +90,15 @@
 // ConfigSeen is a version of the configuration that was read from a source.
 type ConfigSeen struct {
 	Config *Config
-	// Source says where the configuration came from, for the log.
-	Source string
+	Source ViewSource
+}
+
+// ViewSource says where a daemon has read something of the store, for the log.
+type ViewSource struct {
+	// Call is the call that brought it, to the store or to another daemon.
+	Call string
+	// Daemon is the name of the daemon that was called; empty for the store.
+	Daemon string
 }
 
 // Registered means that this daemon's entry is in the store. First means that it was not
@@ -286,6 +293,7 @@
 	LogQueryPartial
 	LogQueryRefused
 	LogQueryAbandoned
+	LogConfigHeard
 	LogConfigApplied
 	LogConfigIgnored
 	LogServerAdded
@@ -321,6 +329,16 @@
 	LogRolloutWriteFailed
 )
 
+// ConfigOrigin says how a daemon learned of a version of the configuration.
+type ConfigOrigin struct {
+	Source ViewSource
+	// Age is the time since the daemon applied the version.
+	Age time.Duration
+	// WatchAge is the time since a daemon last told that it watches the store: without one,
+	// nobody learns of later versions.
+	WatchAge time.Duration
+}
+
 // QueryReport summarises how a request was handled.
 type QueryReport struct {
 	RequestID string
@@ -330,8 +348,10 @@
 	Outcome string
 	Elapsed time.Duration
 	// Late means that the answer missed the route's latency target.
-	Late           bool
-	ConfigVersion  uint64
+	Late          bool
+	ConfigVersion uint64
+	// ConfigOrigin is set for a request that was refused, if there is a configuration.
+	ConfigOrigin   *ConfigOrigin
 	ViewAge        time.Duration
 	Shards         int
 	Missing        int
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/capacity"
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/quota"
-	"github.com/pistachiousher/pistachiousher/pkg/core/gateway/tenant"
 	"github.com/pistachiousher/pistachiousher/pkg/model"
 )
 
@@ -213,49 +212,6 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// configSeen applies a configuration if it is newer than the one in use. The version in
-// use never decreases during the life of a process.
-func (s *State) configSeen(e ConfigSeen) {
-	old := s.Version()
-	if s.config != nil && e.Config.Version <= old {
-		if e.Config.Version < old {
-			s.emit(Log{Kind: LogConfigIgnored, Detail: e.Source, Number: int64(e.Config.Version)})
-		}
-		return
-	}
-	e.Config.index()
-	var earlier *tenant.Directory
-	if s.config != nil {
-		earlier = s.config.directory
-	}
-	s.config = e.Config
-	s.emit(Log{Kind: LogConfigApplied, Detail: e.Source, Number: int64(e.Config.Version)})
-	s.emit(ApplyLimits{Limits: e.Config.Limits})
-	s.dropRemovedRoutes()
-	s.dropRemovedPools()
-	for name, svc := range s.services {
-		c, ok := e.Config.Services[name]
-		svc.config = c
-		if !ok && len(svc.servers) == 0 && len(svc.queue) == 0 {
-			delete(s.services, name)
-		}
-	}
-	s.tenantsChanged(earlier)
-	s.members.selfGossipPending = true
-}
-
-// dropRemovedRoutes deletes what was learned about routes that the configuration no
-// longer has.
-func (s *State) dropRemovedRoutes() {
-	keep := make(map[string]*routeState, len(s.config.Routes))
-	for _, r := range s.config.Routes {
-		if known, ok := s.routes[r.Name]; ok {
-			keep[r.Name] = known
-		}
-	}
-	s.routes = keep
-}
-
 func (s *State) storeReached(e StoreReached) {
 	s.readiness.callEnded(e)
 	ok := e.OK
@@ -267,7 +223,7 @@
 		s.emit(Log{Kind: LogStoreRegained, Duration: s.now.Sub(s.storeDownSince)})
 	case !ok && !s.storeDown:
 		s.storeDownSince = s.now
-		s.emit(Log{Kind: LogStoreLost, Detail: e.Cause})
+		s.emit(Log{Kind: LogStoreLost, Detail: e.Cause, Duration: s.now.Sub(s.viewConfirmedAt)})
 	}
 	s.storeDown = !ok
 	if ok {
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -40,6 +40,7 @@
 		if e.Name == "" || e.PeerAddress == "" {
 			return nil
 		}
+		s.configHeard(e)
 		d = &daemon{removalCountedFrom: s.now, DaemonEntry: e}
 		s.daemons[e.Name] = d
 		s.emit(Log{Kind: LogDaemonSeen, Subject: e.Name, Detail: e.FailureDomain})
@@ -67,6 +68,7 @@
 	if e.PeerAddress == "" {
 		e.CallerAddress, e.PeerAddress, e.FailureDomain, e.Cores = d.CallerAddress, d.PeerAddress, d.FailureDomain, d.Cores
 	}
+	s.configHeard(e)
 	d.DaemonEntry = e
 	if fromGossip {
 		s.markHeard(d, e.Age)
--- a/pkg/core/gateway/harness_test.go
+++ b/pkg/core/gateway/harness_test.go
@@ -98,7 +98,7 @@
 
 func (h *harness) configure(version uint64, services map[string]ServiceConfig, routes ...*Route) {
 	h.t.Helper()
-	h.step(ConfigSeen{Config: &Config{Version: version, Routes: routes, Services: services}, Source: "test"})
+	h.step(ConfigSeen{Config: &Config{Version: version, Routes: routes, Services: services}, Source: ViewSource{Call: "test"}})
 }
 
 // listLeafs announces count leafs of each service, alternately in failure domains a and
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -175,6 +175,10 @@
 	// newerConfigSince is when another daemon was first known to have a newer
 	// configuration; 0 if none has.
 	newerConfigSince model.Time
+	// heardConfig is the latest version of the configuration that another daemon has told of,
+	// at heardConfigAt.
+	heardConfig   uint64
+	heardConfigAt model.Time
 	// view has the revisions of the latest changes that this daemon has applied.
 	view ViewRevisions
 	// peerOutageAt is when another daemon last reported that it cannot reach the store.
--- a/pkg/core/gateway/query.go
+++ b/pkg/core/gateway/query.go
@@ -93,12 +93,12 @@
 
 // query is one request of a caller.
 type query struct {
-	id            QueryID
-	requestID     string
-	route         *Route
-	configVersion uint64
-	credential    tenant.Credential
-	identity      tenant.Identity
+	id         QueryID
+	requestID  string
+	route      *Route
+	config     *Config
+	credential tenant.Credential
+	identity   tenant.Identity
 	// revoked means that the key was removed after a leaf may have begun to work on the
 	// request; nothing more is sent.
 	revoked bool
@@ -213,7 +213,7 @@
 	timeoutStart := arrived.Add(-e.MaxUnread)
 	margin := min(answerMargin, time.Duration(float64(timeout)*maxAnswerMarginRatio))
 	q := &query{
-		id: e.Query, requestID: e.RequestID, route: r, configVersion: s.config.Version, arrived: arrived,
+		id: e.Query, requestID: e.RequestID, route: r, config: s.config, arrived: arrived,
 		deadline:     timeoutStart.Add(timeout - margin),
 		leafDeadline: timeoutStart.Add(timeout - margin - min(leafMargin, margin)),
 		heapIndex:    -1,
--- a/pkg/core/gateway/report.go
+++ b/pkg/core/gateway/report.go
@@ -4,10 +4,13 @@
 func (s *State) queryReport(q *query, kind LogKind, outcome string) *QueryReport {
 	r := &QueryReport{
 		RequestID: q.requestID, Route: q.route.Name, Tenant: q.identity.Name(), Outcome: outcome, Elapsed: s.now.Sub(q.arrived), Late: s.isLate(q),
-		ConfigVersion: q.configVersion, ViewAge: s.viewAge(), Shards: len(q.parts), Missing: len(q.parts) - q.answeredParts,
+		ConfigVersion: q.config.Version, ViewAge: s.viewAge(), Shards: len(q.parts), Missing: len(q.parts) - q.answeredParts,
 		Calls: q.sent, Hedges: q.hedges, Retries: q.retries, BudgetDenied: q.budgetDenied,
 		Wait: s.waitReport(q, kind, outcome),
 	}
+	if kind == LogQueryRefused {
+		r.ConfigOrigin = s.configOrigin(q.config)
+	}
 	if r.Missing > 0 {
 		r.MissingReasons = missingReasons(q)
 	}
--- a/pkg/core/gateway/rolloutfleet_test.go
+++ b/pkg/core/gateway/rolloutfleet_test.go
@@ -296,7 +296,7 @@
 		Self: d.entry, RegionOf: map[string]string{"a": "r", "b": "r", "c": "r"}, RetryRatio: 0.2, RetrySlack: 40, MaxSilence: 1200 * time.Millisecond,
 		Seed: d.f.rand.Uint64(), IsSeed: true, Rollout: &RolloutLimits{Share: 0.1, Slack: 50, OrderWithin: 5 * time.Second},
 	})
-	d.step(ConfigSeen{Config: &Config{Version: 1, Services: map[string]ServiceConfig{}, Routes: []*Route{fleetRoutes[0].route, fleetRoutes[1].route, fleetRoutes[2].route}}, Source: "store"})
+	d.step(ConfigSeen{Config: &Config{Version: 1, Services: map[string]ServiceConfig{}, Routes: []*Route{fleetRoutes[0].route, fleetRoutes[1].route, fleetRoutes[2].route}}, Source: ViewSource{Call: "watch"}})
 	d.step(ServersListed{Servers: d.f.servers})
 	var all []DaemonEntry
 	for _, x := range d.f.daemons {
--- a/pkg/core/gateway/tenants_test.go
+++ b/pkg/core/gateway/tenants_test.go
@@ -32,7 +32,7 @@
 func (h *harness) configureTenants(version uint64, tenants []*tenant.Tenant, routes ...*Route) {
 	h.t.Helper()
 	services := map[string]ServiceConfig{"s": {MaxConnections: 2}}
-	h.step(ConfigSeen{Config: &Config{Version: version, Routes: routes, Services: services, Tenants: tenants}, Source: "test"})
+	h.step(ConfigSeen{Config: &Config{Version: version, Routes: routes, Services: services, Tenants: tenants}, Source: ViewSource{Call: "test"}})
 }
 
 // refusal returns why a request was refused; "" if it was not.
--- a/pkg/edge/adopt.go
+++ b/pkg/edge/adopt.go
@@ -42,20 +42,21 @@
 	return out
 }
 
-// Adopt applies another daemon's view where it is newer than what this daemon knows.
-// askedSince are the positions that the request for the view named.
-func (f *Follower) Adopt(v View, askedSince map[Kind]Position) {
-	f.mergeRetained(v.Retained)
+// Adopt applies the view of another daemon, by its name, where it is newer than what this
+// daemon knows. askedSince are the positions that the request for the view named.
+func (f *Follower) Adopt(daemon string, v View, askedSince map[Kind]Position) {
+	source := sourceView(daemon)
+	f.mergeRetained(v.Retained, source)
 	for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 		remote, ok := v.Kinds[kind]
 		if !ok {
 			continue
 		}
 		if since, asked := askedSince[kind]; asked && remote.Era == since.Era && remote.Since <= since.Revision && remote.Since > 0 {
-			f.applyRemoteChanges(kind, remote, v.AfterOutage)
+			f.applyRemoteChanges(kind, remote, source, v.AfterOutage)
 			continue
 		}
-		f.replaceState(kind, remote.clone(), sourceDaemon, v.AfterOutage)
+		f.replaceState(kind, remote.clone(), source, v.AfterOutage)
 	}
 	f.observeEra(v.Era, false)
 	f.mu.Lock()
@@ -69,18 +70,18 @@
 }
 
 // mergeRetained adopts and posts what another daemon has retained.
-func (f *Follower) mergeRetained(remote map[Kind]map[string]Retained) {
+func (f *Follower) mergeRetained(remote map[Kind]map[string]Retained, source gateway.ViewSource) {
 	if len(remote) == 0 {
 		return
 	}
 	for name, r := range remote[KindConfig] {
-		f.hideKeysOf(KindConfig, &r.Object, sourceDaemon)
+		f.hideKeysOf(KindConfig, &r.Object, source)
 		remote[KindConfig][name] = r
 	}
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	for _, kind := range f.adoptRetained(remote) {
-		f.postState(kind, sourceDaemon, false)
+		f.postState(kind, source, false)
 		if kind == KindServers {
 			f.postLeft()
 		}
@@ -104,7 +105,7 @@
 }
 
 // applyRemoteChanges applies the changes of a kind that another daemon sent.
-func (f *Follower) applyRemoteChanges(kind Kind, remote KindState, afterOutage bool) {
+func (f *Follower) applyRemoteChanges(kind Kind, remote KindState, source gateway.ViewSource, afterOutage bool) {
 	var changes []Change
 	for _, o := range remote.Objects {
 		changes = append(changes, Change{Object: o})
@@ -112,12 +113,12 @@
 	for name, revision := range remote.Deleted {
 		changes = append(changes, Change{Object: Object{Name: name, Revision: revision}, Deleted: true})
 	}
-	f.applyChanges(kind, changes, remote.position(), sourceDaemon, afterOutage)
+	f.applyChanges(kind, changes, remote.position(), source, afterOutage)
 }
 
 // replaceState takes over and posts the whole state of a kind if it is newer than the
 // known one.
-func (f *Follower) replaceState(kind Kind, next KindState, source string, afterOutage bool) {
+func (f *Follower) replaceState(kind Kind, next KindState, source gateway.ViewSource, afterOutage bool) {
 	f.hideKeys(kind, next.Objects, source)
 	f.applying.Lock()
 	defer f.applying.Unlock()
@@ -129,11 +130,11 @@
 // storeStateIfNewer stores the whole state of a kind. It reports false, and stores
 // nothing, if the known state is at least as new. copied means that the known state was
 // of an earlier era. The lock is released also after a panic.
-func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source string) (stored, copied bool) {
+func (f *Follower) storeStateIfNewer(kind Kind, next KindState, source gateway.ViewSource) (stored, copied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, ok := f.view[kind]
-	relisted := ok && f.relistDue[kind] && source == sourceStore
+	relisted := ok && f.relistDue[kind] && isStore(source)
 	if relisted {
 		delete(f.relistDue, kind)
 	}
@@ -173,7 +174,7 @@
 
 // applyChanges records and posts the changes of a kind up to a position, unless the
 // kind was not listed yet, or a later position or one of another era is known.
-func (f *Follower) applyChanges(kind Kind, changes []Change, at Position, source string, afterOutage bool) {
+func (f *Follower) applyChanges(kind Kind, changes []Change, at Position, source gateway.ViewSource, afterOutage bool) {
 	for i := range changes {
 		if o := &changes[i].Object; !changes[i].Deleted {
 			f.hideKeysOf(kind, o, source)
@@ -230,7 +231,7 @@
 
 // hideKeys replaces the keys of tenants in objects before they are stored, logged or sent
 // to other daemons.
-func (f *Follower) hideKeys(kind Kind, objects map[string]Object, source string) {
+func (f *Follower) hideKeys(kind Kind, objects map[string]Object, source gateway.ViewSource) {
 	if kind != KindConfig {
 		return
 	}
@@ -240,11 +241,11 @@
 	}
 }
 
-func (f *Follower) hideKeysOf(kind Kind, o *Object, source string) {
+func (f *Follower) hideKeysOf(kind Kind, o *Object, source gateway.ViewSource) {
 	if kind != KindConfig {
 		return
 	}
-	value, err := f.decoder.HideKeys(o.Value, source == sourceStore)
+	value, err := f.decoder.HideKeys(o.Value, isStore(source))
 	if err != nil {
 		f.onInvalid(kind, o.Name, err)
 		value = unusableConfig
--- a/pkg/edge/confirm_test.go
+++ b/pkg/edge/confirm_test.go
@@ -80,6 +80,6 @@
 		}
 	}
 	since := starting.Positions()
-	starting.Adopt(watching.View(since), since)
+	starting.Adopt("b", watching.View(since), since)
 	starting.awaitConfirmed(t, 0)
 }
--- a/pkg/edge/era_test.go
+++ b/pkg/edge/era_test.go
@@ -65,11 +65,11 @@
 		object := func(era uint64, started int64, sequence uint64) Object {
 			return Object{Name: "a", Era: era, Revision: 20, Value: leafEntry(started, sequence, era == 4)}
 		}
-		f.replaceState(KindServers, newKindState([]Object{object(4, 1, 9)}, Position{4, 30}), sourceStore, false)
+		f.replaceState(KindServers, newKindState([]Object{object(4, 1, 9)}, Position{4, 30}), sourceList, false)
 		if x.gone {
-			f.applyChanges(KindServers, []Change{{Object: Object{Name: "a", Era: 4, Revision: 31}, Deleted: true}}, Position{4, 31}, sourceStore, false)
+			f.applyChanges(KindServers, []Change{{Object: Object{Name: "a", Era: 4, Revision: 31}, Deleted: true}}, Position{4, 31}, sourceList, false)
 		}
-		f.replaceState(KindServers, newKindState([]Object{object(5, x.started, x.sequence)}, Position{5, 21}), sourceStore, false)
+		f.replaceState(KindServers, newKindState([]Object{object(5, x.started, x.sequence)}, Position{5, 21}), sourceList, false)
 		check := func(when string, era uint64) {
 			t.Helper()
 			f.mu.Lock()
@@ -86,17 +86,17 @@
 			}
 		}
 		check("copy", 5)
-		f.replaceState(KindServers, newKindState([]Object{object(6, x.started, x.sequence)}, Position{6, 21}), sourceStore, false)
+		f.replaceState(KindServers, newKindState([]Object{object(6, x.started, x.sequence)}, Position{6, 21}), sourceList, false)
 		check("second copy", 6)
 		// A daemon that starts later knows only what the store shows, and is told.
 		late := NewFollower(FollowerConfig{
 			Store: newFakeStore(), Decoder: modelDecoder{}, Post: func(gateway.Event) {}, OnInvalid: func(Kind, string, error) {},
 			Rank: func() (int, int) { return 0, 1 },
 		})
-		late.replaceState(KindServers, newKindState([]Object{object(6, x.started, x.sequence)}, Position{6, 21}), sourceStore, false)
+		late.replaceState(KindServers, newKindState([]Object{object(6, x.started, x.sequence)}, Position{6, 21}), sourceList, false)
 		view := f.View(late.Positions())
 		view.Retained = f.RetainedObjects()
-		late.Adopt(view, late.Positions())
+		late.Adopt("b", view, late.Positions())
 		f = late
 		check("told", 6)
 	}
@@ -109,8 +109,8 @@
 	for i := range maxRetained + 50 {
 		objects = append(objects, Object{Name: fmt.Sprint(i), Era: 4, Revision: 1, Value: json.RawMessage("{}")})
 	}
-	f.replaceState(KindServers, newKindState(objects, Position{4, 2}), sourceStore, false)
-	f.replaceState(KindServers, newKindState(nil, Position{4, 3}), sourceStore, false)
+	f.replaceState(KindServers, newKindState(objects, Position{4, 2}), sourceList, false)
+	f.replaceState(KindServers, newKindState(nil, Position{4, 3}), sourceList, false)
 	if n := len(f.RetainedObjects()[KindServers]); n > maxRetained {
 		t.Errorf("%d objects are retained", n)
 	}
@@ -163,8 +163,8 @@
 		Store: newFakeStore(), Decoder: hidingDecoder{}, Post: func(gateway.Event) {}, OnInvalid: func(Kind, string, error) {},
 		Rank: func() (int, int) { return 0, 1 },
 	})
-	f.replaceState(KindConfig, newKindState([]Object{{Name: configName, Era: 5, Revision: 1, Value: json.RawMessage(`{"Version":7}`)}}, Position{5, 1}), sourceStore, false)
-	f.Adopt(View{Era: 5, Retained: map[Kind]map[string]Retained{KindConfig: {configName: {Object: Object{Name: configName, Era: 4, Value: json.RawMessage(`{"Version":8,"key":"k"}`)}}}}}, nil)
+	f.replaceState(KindConfig, newKindState([]Object{{Name: configName, Era: 5, Revision: 1, Value: json.RawMessage(`{"Version":7}`)}}, Position{5, 1}), sourceList, false)
+	f.Adopt("b", View{Era: 5, Retained: map[Kind]map[string]Retained{KindConfig: {configName: {Object: Object{Name: configName, Era: 4, Value: json.RawMessage(`{"Version":8,"key":"k"}`)}}}}}, nil)
 	if got := string(f.RetainedObjects()[KindConfig][configName].Object.Value); got != `{"Version":8}` {
 		t.Errorf("retained: %s", got)
 	}
@@ -187,7 +187,7 @@
 func TestVerdictOfAnEarlierEraIsNotSent(t *testing.T) {
 	s := newFakeStore()
 	f := newRecordingFollower(s)
-	f.Adopt(View{Era: 5}, nil)
+	f.Adopt("b", View{Era: 5}, nil)
 	for era, want := range map[uint64]int{4: 0, 5: 1} {
 		s.verdicts = 0
 		err := f.writeVerdict(t.Context(), gateway.WriteVerdict{Service: "x", Era: era, Revision: 7})
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -11,12 +11,22 @@
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
 
-// Sources of what a follower knows, as log lines name them.
-const (
-	sourceStore  = "store"
-	sourceDaemon = "daemon"
+// Sources of what a follower knows: calls to the store, and the view of a daemon.
+var (
+	sourceOldList = gateway.ViewSource{Call: "list that may be old"}
+	sourceList    = gateway.ViewSource{Call: "list"}
+	sourceWatch   = gateway.ViewSource{Call: "watch"}
+	// sourceRetained is what this daemon itself knew before the store came back from a copy.
+	sourceRetained = gateway.ViewSource{Call: "retained"}
 )
 
+func sourceView(daemon string) gateway.ViewSource {
+	return gateway.ViewSource{Call: "view", Daemon: daemon}
+}
+
+// isStore reports whether a source is a call to the store.
+func isStore(source gateway.ViewSource) bool { return source.Daemon == "" }
+
 const (
 	// fleetWatchInterval is the time within which some daemon of the fleet starts a new
 	// watch, since a watch may be cut off without notice: the watches of n watching
@@ -284,7 +294,7 @@
 	if at.Era > known.Era {
 		return nil
 	}
-	f.applyChanges(kind, changes, at, sourceStore, f.afterOutage())
+	f.applyChanges(kind, changes, at, sourceWatch, f.afterOutage())
 	f.confirm(kind)
 	return nil
 }
@@ -342,7 +352,11 @@
 			return err
 		}
 		f.recordStoreCall(kind, nil)
-		f.replaceState(kind, newKindState(objects, at), sourceStore, f.afterOutage())
+		source := sourceList
+		if mayBeStale {
+			source = sourceOldList
+		}
+		f.replaceState(kind, newKindState(objects, at), source, f.afterOutage())
 		if !mayBeStale && at.Era == f.store.Era() {
 			f.confirm(kind)
 		}
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -109,9 +109,9 @@
 			Store: &fakeStore{}, Decoder: anyDecoder{}, Post: func(gateway.Event) {},
 			OnInvalid: func(Kind, string, error) {}, Rank: func() (int, int) { return 0, 1 },
 		})
-		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, Position{Revision: 5}), sourceStore, false)
+		follower.replaceState(KindServers, newKindState([]Object{{Name: "i-1", Revision: 4, Value: json.RawMessage(`{}`)}}, Position{Revision: 5}), sourceList, false)
 		have := follower.Positions()
-		follower.Adopt(view, have)
+		follower.Adopt("b", view, have)
 		known := follower.View(nil).Kinds[KindServers]
 		remote, inView := view.Kinds[KindServers]
 		_, deleted := remote.Deleted["i-1"]
--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -265,7 +265,7 @@
 			r.daemon.fleet.t.Error(err)
 			return
 		}
-		r.follower.Adopt(view, since)
+		r.follower.Adopt(e.Daemon, view, since)
 		r.runtime.Post(gateway.ViewFetched{Fetch: e, OK: true})
 	}()
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -131,7 +131,7 @@
 			since := p.follower.Positions()
 			view, err := p.requestView(e.From, since, e.Retained, e.Capacities)
 			if err == nil {
-				p.follower.Adopt(view, since)
+				p.follower.Adopt(e.Daemon, view, since)
 				capacities = usableCapacities(view.Capacities)
 			}
 			return err
--- a/pkg/edge/retained.go
+++ b/pkg/edge/retained.go
@@ -173,7 +173,7 @@
 	}
 	f.mu.Unlock()
 	if ended {
-		f.postState(KindEvacuations, sourceStore, false)
+		f.postState(KindEvacuations, sourceRetained, false)
 	}
 }
 
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return gateway.RolloutOrder{}, err
 	}
-	f.replaceState(KindRollouts, newKindState(objects, at), sourceStore, f.afterOutage())
+	f.replaceState(KindRollouts, newKindState(objects, at), sourceList, f.afterOutage())
 	for _, o := range objects {
 		if o.Name == service {
 			return f.decoder.Rollout(o)
--- a/pkg/edge/rollouts_test.go
+++ b/pkg/edge/rollouts_test.go
@@ -88,7 +88,7 @@
 	if err := source.listKind(t.Context(), KindRollouts, false); err != nil {
 		t.Fatal(err)
 	}
-	receiver.Adopt(source.View(nil), nil)
+	receiver.Adopt("b", source.View(nil), nil)
 	found := false
 	for _, e := range receiver.events {
 		if listed, ok := e.(gateway.RolloutsListed); ok {
--- a/pkg/edge/store_test.go
+++ b/pkg/edge/store_test.go
@@ -108,13 +108,13 @@
 	if err := json.Unmarshal(data, &received); err != nil {
 		t.Fatal(err)
 	}
-	other.Adopt(received, have)
+	other.Adopt("b", received, have)
 	other.awaitLeafs(t, time.Second, "[b]")
 	empty := newRecordingFollower(s)
-	empty.Adopt(watching.View(nil), nil)
+	empty.Adopt("b", watching.View(nil), nil)
 	empty.awaitLeafs(t, time.Second, "[b]")
 	// An older view must not undo newer changes.
-	empty.Adopt(received, map[Kind]Position{KindServers: {}})
+	empty.Adopt("b", received, map[Kind]Position{KindServers: {}})
 	empty.awaitLeafs(t, time.Second, "[b]")
 	if empty.View(empty.Positions()).Kinds[KindServers].Revision != 0 {
 		t.Error("a view is sent to a daemon that knows it already")
@@ -207,7 +207,7 @@
 	s.mu.Unlock()
 	time.Sleep(2 * fleetWatchInterval)
 	since := f.Positions()
-	f.Adopt(older.View(since), since)
+	f.Adopt("b", older.View(since), since)
 	f.awaitLeafs(t, 0, "[b]")
 	if got := f.View(nil).Kinds[KindServers].Revision; got < 3 {
 		t.Errorf("other daemons are told revision %d, want that of the last change", got)
@@ -250,9 +250,9 @@
 		return View{Kinds: map[Kind]KindState{KindEvacuations: state}}
 	}
 	var adopting sync.WaitGroup
-	adopting.Go(func() { f.Adopt(view(5, "a"), nil) })
+	adopting.Go(func() { f.Adopt("b", view(5, "a"), nil) })
 	<-firstPosted
-	adopting.Go(func() { f.Adopt(view(6, "a", "b"), nil) })
+	adopting.Go(func() { f.Adopt("b", view(6, "a", "b"), nil) })
 	time.Sleep(50 * time.Millisecond)
 	close(release)
 	adopting.Wait()
--- a/pkg/edge/storeevents.go
+++ b/pkg/edge/storeevents.go
@@ -25,7 +25,7 @@
 }
 
 // postState posts the whole state of a kind.
-func (f *Follower) postState(kind Kind, source string, afterOutage bool) {
+func (f *Follower) postState(kind Kind, source gateway.ViewSource, afterOutage bool) {
 	f.mu.Lock()
 	known := f.view[kind]
 	objects, held := f.effectiveObjects(kind)
@@ -57,7 +57,7 @@
 // configName is the name of the object that holds the configuration.
 const configName = "main"
 
-func (f *Follower) postConfig(objects map[string]Object, source string) {
+func (f *Follower) postConfig(objects map[string]Object, source gateway.ViewSource) {
 	o, ok := objects[configName]
 	if !ok {
 		f.post(gateway.ConfigUnusable{Cause: "the store has none"})
--- a/pkg/edge/versions_test.go
+++ b/pkg/edge/versions_test.go
@@ -70,13 +70,13 @@
 		if err != nil {
 			t.Fatalf("view of the %s version: %v", name, err)
 		}
-		f.Adopt(got, nil)
+		f.Adopt("b", got, nil)
 		f.awaitLeafs(t, time.Second, "[b]")
 		// What was adopted can be sent to other daemons.
 		if _, err := json.Marshal(f.View(nil)); err != nil {
 			t.Errorf("view of the %s version: %v", name, err)
 		}
-		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, Position{Revision: 10}, sourceDaemon, false)
+		f.applyChanges(KindServers, []Change{{Object: Object{Name: "b", Revision: 10}, Deleted: true}}, Position{Revision: 10}, sourceView("b"), false)
 		f.awaitLeafs(t, time.Second, "[]")
 		server.Close()
 	}
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -27,6 +27,7 @@
 	gateway.LogQueryPartial:     logevent.EdgePartial,
 	gateway.LogQueryRefused:     logevent.EdgeRefused,
 	gateway.LogQueryAbandoned:   logevent.EdgeAbandoned,
+	gateway.LogConfigHeard:      logevent.EdgeConfigHeard,
 	gateway.LogConfigApplied:    logevent.EdgeConfigApplied,
 	gateway.LogConfigIgnored:    logevent.EdgeConfigIgnored,
 	gateway.LogServerAdded:      logevent.EdgeServerAdded,
@@ -161,6 +162,7 @@
 		logevent.Int("missing", q.Missing), logevent.Int("calls", q.Calls), logevent.Int("hedges", q.Hedges),
 		logevent.Int("retries", q.Retries), logevent.Int("budget_denied", q.BudgetDenied),
 	}
+	fields = append(fields, originFields(q.ConfigOrigin)...)
 	if q.Tenant != "" {
 		fields = append(fields, logevent.Str("tenant", q.Tenant))
 	}
@@ -177,6 +179,22 @@
 	return fields
 }
 
+// originFields describes how the daemon learned of the version that decided on a request;
+// there are none for one that was not refused.
+func originFields(o *gateway.ConfigOrigin) []logevent.Field {
+	if o == nil {
+		return nil
+	}
+	from := o.Source.Daemon
+	if from == "" {
+		from = "store"
+	}
+	return []logevent.Field{
+		logevent.Str("config_from", from), logevent.Str("config_by", o.Source.Call), logevent.Int("config_age_ms", o.Age.Milliseconds()),
+		logevent.Int("watch_age_ms", o.WatchAge.Milliseconds()),
+	}
+}
+
 // waitFields describes what a request waited for; there are none for one that was
 // answered completely and in time.
 func waitFields(w *gateway.WaitReport) []logevent.Field {
