--- a/pkg/edge/modelfleet_test.go
+++ b/pkg/edge/modelfleet_test.go
@@ -296,11 +296,11 @@
 	return order, err
 }
 
-// inTouch returns the processes that have run for the contact time.
+// inTouch returns the processes that have run for the contact time and that the store answers.
 func (f *modelFleet) inTouch() []*modelRun {
 	var out []*modelRun
 	for _, d := range f.daemons {
-		if run := d.run.Load(); run != nil && time.Since(run.startedAt) >= f.contact {
+		if run := d.run.Load(); run != nil && time.Since(run.startedAt) >= f.contact && !f.store.isSilent(d.entry.Name) {
 			out = append(out, run)
 		}
 	}
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -27,6 +27,9 @@
 	muted int
 	// isDown reports whether the store turns a daemon away.
 	isDown func(daemon string) bool
+	// silent are the daemons whose calls get no answer, those included that were running when
+	// the silence began.
+	silent map[string]bool
 	// calls counts the calls of each daemon.
 	calls map[string]int
 	// changed is closed and replaced at each change.
@@ -117,6 +120,23 @@
 	s.isDown = isDown
 }
 
+// setSilent makes the store give no answer to daemons from now on.
+func (s *modelStore) setSilent(daemons []*modelDaemon) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = map[string]bool{}
+	for _, d := range daemons {
+		s.silent[d.entry.Name] = true
+	}
+}
+
+// isSilent reports whether the store gives no answer to a daemon.
+func (s *modelStore) isSilent(daemon string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[daemon]
+}
+
 // stateAt returns the objects of a kind at a time, and the store's revision then. The
 // caller holds the lock.
 func (s *modelStore) stateAt(kind Kind, at time.Time) ([]Object, uint64) {
@@ -155,11 +175,17 @@
 }
 
 // begin counts a call and lets its time pass. The answer, whatever it is, names the era.
-func (c modelStoreClient) begin() error {
+func (c modelStoreClient) begin(ctx context.Context) error {
 	time.Sleep(modelCallTime)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.calls[c.daemon]++
+	c.mu.Unlock()
+	if c.isSilent(c.daemon) {
+		<-ctx.Done()
+		return ErrStore
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.isDown(c.daemon) {
 		return ErrStore
 	}
@@ -170,8 +196,8 @@
 // Era implements Store.
 func (c modelStoreClient) Era() uint64 { return c.seen.Load() }
 
-func (c modelStoreClient) List(_ context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error) {
-	if err := c.begin(); err != nil {
+func (c modelStoreClient) List(ctx context.Context, kind Kind, mayBeStale bool) ([]Object, Position, error) {
+	if err := c.begin(ctx); err != nil {
 		return nil, Position{}, err
 	}
 	c.mu.Lock()
@@ -188,7 +214,7 @@
 }
 
 func (c modelStoreClient) Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) ([]Change, Position, error) {
-	if err := c.begin(); err != nil {
+	if err := c.begin(ctx); err != nil {
 		return nil, Position{}, err
 	}
 	end := time.After(wait)
@@ -197,7 +223,7 @@
 	c.mu.Unlock()
 	for ended := false; ; {
 		c.mu.Lock()
-		if c.muted != begun {
+		if c.muted != begun || c.silent[c.daemon] {
 			c.mu.Unlock()
 			<-ctx.Done()
 			return nil, Position{}, ErrStore
@@ -230,8 +256,8 @@
 	}
 }
 
-func (c modelStoreClient) Create(_ context.Context, kind Kind, name string, value any) (Object, error) {
-	if err := c.begin(); err != nil {
+func (c modelStoreClient) Create(ctx context.Context, kind Kind, name string, value any) (Object, error) {
+	if err := c.begin(ctx); err != nil {
 		return Object{}, err
 	}
 	c.mu.Lock()
@@ -247,8 +273,8 @@
 	return Object{Name: name, Era: c.Era()}, nil
 }
 
-func (c modelStoreClient) Replace(_ context.Context, kind Kind, o Object, value any) error {
-	if err := c.begin(); err != nil {
+func (c modelStoreClient) Replace(ctx context.Context, kind Kind, o Object, value any) error {
+	if err := c.begin(ctx); err != nil {
 		return err
 	}
 	if o.Era != c.Era() {
@@ -258,8 +284,8 @@
 	return nil
 }
 
-func (c modelStoreClient) WriteVerdict(_ context.Context, service string, at Position, target string, verdict rollout.Verdict) error {
-	if err := c.begin(); err != nil {
+func (c modelStoreClient) WriteVerdict(ctx context.Context, service string, at Position, target string, verdict rollout.Verdict) error {
+	if err := c.begin(ctx); err != nil {
 		return err
 	}
 	if at.Era != c.Era() {
@@ -282,8 +308,8 @@
 	return ErrConflict
 }
 
-func (c modelStoreClient) Remove(_ context.Context, kind Kind, name string) error {
-	if err := c.begin(); err != nil {
+func (c modelStoreClient) Remove(ctx context.Context, kind Kind, name string) error {
+	if err := c.begin(ctx); err != nil {
 		return err
 	}
 	c.remove(kind, name)
