gateway, edge: a daemon whose view nobody proves reads the store itself

Cause: a daemon counted as a watcher of the store from its decision to watch until a call of its own failed, up to 6.7 s later, and successors repeated that one after the other. All others waited for whoever had the role, however long ago anybody had read the store.

Change: entries say how long ago their daemon read all kinds. That proves the view of each daemon that lacks nothing the reader knew. A daemon whose view is not proven for 0.7 of the new setting apply_within (0.66 in large fleets) reads the store itself, the configuration first. A daemon says that it watches once it has read; one whose calls fail comes last in the order and is remembered as such for the contact time; one watch ends in each half (fifth) of apply_within.

--- a/measure/fleet/daemon.go
+++ b/measure/fleet/daemon.go
@@ -162,7 +162,7 @@
 		if d.watching = e.On; e.On {
 			d.readStore(storeTime)
 		}
-	case gateway.RefreshView:
+	case gateway.RefreshView, gateway.ReadStore:
 		d.readStore(storeTime)
 	case gateway.CloseIdle:
 		w.leafs[e.Server].connections -= d.idle[e.Server]
--- a/measure/fleet/store.go
+++ b/measure/fleet/store.go
@@ -77,6 +77,7 @@
 	d.step(gateway.StoreReached{OK: true})
 	d.takeView(s.config, s.revision+1, "store")
 	d.step(gateway.DaemonsListed{Daemons: s.daemonList()})
+	d.step(gateway.StoreRead{})
 }
 
 // takeView applies a configuration and the list of leafs.
--- a/pkg/core/gateway/configseen.go
+++ b/pkg/core/gateway/configseen.go
@@ -53,7 +53,7 @@
 	if c == nil {
 		return nil
 	}
-	return &ConfigOrigin{Source: c.source, Age: s.now.Sub(c.appliedAt), WatchAge: s.WatchAge()}
+	return &ConfigOrigin{Source: c.source, Age: s.now.Sub(c.appliedAt), ProofAge: s.ProofAge()}
 }
 
 // dropRemovedRoutes deletes what was learned about routes that the configuration no
--- a/pkg/core/gateway/event.go
+++ b/pkg/core/gateway/event.go
@@ -131,7 +131,9 @@
 type SettingsChanged struct {
 	RetryRatio, RetrySlack float64
 	MaxSilence             time.Duration
-	Seeds                  []string
+	// ApplyWithin is that of Options; 0 leaves it as it is.
+	ApplyWithin time.Duration
+	Seeds       []string
 }
 
 // Tick is sent at the time that NextWake returned.
@@ -311,6 +313,7 @@
 	LogDaemonSeen
 	LogDaemonSilent
 	LogWatchersChanged
+	LogViewUnproven
 	LogReady
 	LogNotReady
 	LogStoreLost
@@ -334,9 +337,8 @@
 	Source ViewSource
 	// Age is the time since the daemon applied the version.
 	Age time.Duration
-	// WatchAge is the time since a daemon last told that it watches the store: without one,
-	// nobody learns of later versions.
-	WatchAge time.Duration
+	// ProofAge is for how long the daemon has not known that the store has no later version.
+	ProofAge time.Duration
 }
 
 // QueryReport summarises how a request was handled.
--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -32,6 +32,9 @@
 	RetryWindow time.Duration
 	// MaxSilence is how long a daemon may not be heard of before it counts as gone.
 	MaxSilence time.Duration
+	// ApplyWithin is the time after its acknowledgement by the store within which each daemon
+	// that reaches the store applies a change; 0 means defaultApplyWithin.
+	ApplyWithin time.Duration
 	// IsSeed means that the settings of other daemons name this one as a seed.
 	IsSeed bool
 	// Seeds are peer addresses that get this daemon's gossip until it knows the leafs.
@@ -95,10 +98,14 @@
 	rollouts        rolloutState
 	admission       admissionState
 	readiness       readiness
+	proof           proofState
 }
 
 // New returns a reducer that knows no configuration and no leafs yet.
 func New(o Options) *State {
+	if o.ApplyWithin == 0 {
+		o.ApplyWithin = defaultApplyWithin
+	}
 	return &State{
 		opt:       o,
 		rand:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
@@ -111,6 +118,7 @@
 		daemons:   map[string]*daemon{},
 		quota:     quota.New(o.Self.Name, o.Quota, 0),
 		rollouts:  newRolloutState(),
+		proof:     proofState{rand: rand.New(rand.NewPCG(o.Seed, 1))},
 	}
 }
 
@@ -159,9 +167,14 @@
 		s.gossipReceived(e)
 	case StoreReached:
 		s.storeReached(e)
+	case StoreRead:
+		s.storeRead(e)
 	case SettingsChanged:
 		s.opt.RetryRatio, s.opt.RetrySlack = e.RetryRatio, e.RetrySlack
 		s.opt.MaxSilence, s.opt.Seeds = e.MaxSilence, e.Seeds
+		if e.ApplyWithin > 0 {
+			s.opt.ApplyWithin = e.ApplyWithin
+		}
 	case StopRequested:
 		s.startShutdown(e)
 	case StopEnding:
@@ -175,14 +188,15 @@
 // caller that recovered from a panic in Step.
 func (s *State) EffectsSoFar() []Effect { return s.effects }
 
-// runDue handles roll-outs, query timers, lapsed leafs, queued parts, gossip and log lines that
-// are due.
+// runDue handles roll-outs, query timers, lapsed leafs, queued parts, gossip, a reading of the
+// store and log lines that are due.
 func (s *State) runDue() {
 	s.rolloutsDue()
 	s.handleDueQueries()
 	s.dropLapsed()
 	s.scanQueues()
 	s.gossipIfDue()
+	s.readStoreIfDue()
 	s.logReadiness()
 }
 
@@ -196,7 +210,7 @@
 	if len(s.waitingServices) > 0 {
 		wake = min(wake, s.now.Add(queueScanInterval))
 	}
-	return min(wake, s.rollouts.nextAt)
+	return min(wake, s.rollouts.nextAt, s.proof.dueAt)
 }
 
 // Version returns the version of the configuration in use, 0 if there is none.
@@ -244,7 +258,9 @@
 	ConfigFaults []string
 	Watcher      bool
 	// WatchAge is how long ago a daemon last told that it watches the store.
-	WatchAge  time.Duration
+	WatchAge time.Duration
+	// ProofAge is for how long the view has not been proven.
+	ProofAge  time.Duration
 	StoreDown bool
 	// StoreEra is the latest known era of the store, HeldEvacuations the number of
 	// evacuations in force that it no longer shows.
@@ -284,10 +300,10 @@
 
 // Status returns the values for metrics.
 func (s *State) Status() Status {
-	daemons := len(s.storeCandidates(s.alive))
+	daemons := s.countReaching(s.storeCandidates(s.alive))
 	out := Status{
 		ConfigVersion: s.Version(), ViewAge: s.viewAge(), View: s.members.view, Ready: s.Ready(), NotReady: s.NotReady(),
-		Watcher: s.members.watcher, WatchAge: s.WatchAge(), StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
+		Watcher: s.members.watcher, WatchAge: s.WatchAge(), ProofAge: s.ProofAge(), StoreDown: s.storeDown, StoreEra: s.storeEra, HeldEvacuations: len(s.heldEvacuations), Leafs: len(s.servers), Daemons: daemons,
 		OpenRequests: len(s.queries), OpenCalls: len(s.calls), Share: s.quotaShare(),
 	}
 	for _, srv := range s.servers {
--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -48,6 +48,7 @@
 			s.markHeard(d, e.Age)
 		}
 		s.members.fullGossipPending = true
+		s.noteReading(d)
 		return d
 	}
 	if e.Incarnation < d.Incarnation {
@@ -73,6 +74,7 @@
 	if fromGossip {
 		s.markHeard(d, e.Age)
 	}
+	s.noteReading(d)
 	return d
 }
 
@@ -238,6 +240,9 @@
 	for _, d := range known[:min(len(known), maxGossipEntries)] {
 		entry := d.WithoutStoredFields()
 		entry.Age = s.now.Sub(d.toldAt)
+		if !d.Watching {
+			entry.HasRead, entry.ReadAge = false, 0
+		}
 		d.passedOnAt = s.now
 		out = append(out, entry)
 	}
--- a/pkg/core/gateway/harness_test.go
+++ b/pkg/core/gateway/harness_test.go
@@ -25,6 +25,8 @@
 	lastQuery    QueryID
 	// holdCalls leaves attempts unsent until the test calls BeginCall.
 	holdCalls bool
+	// storeFails is set by a failed StoreReached. Until then the store answers each reading.
+	storeFails bool
 }
 
 func newHarness(t *testing.T) *harness {
@@ -50,6 +52,10 @@
 // step applies an event and records its effects.
 func (h *harness) step(e Event) {
 	h.t.Helper()
+	if reached, ok := e.(StoreReached); ok {
+		h.storeFails = !reached.OK
+	}
+	reads := false
 	for _, effect := range h.s.Step(h.now, e) {
 		switch e := effect.(type) {
 		case SendCall:
@@ -66,10 +72,17 @@
 			h.recordAnswer(e.Query, e)
 		case Log:
 			h.logs = append(h.logs, e)
+		case WatchStore:
+			h.otherEffects, reads = append(h.otherEffects, e), reads || e.On
+		case ReadStore:
+			h.otherEffects, reads = append(h.otherEffects, e), true
 		default:
 			h.otherEffects = append(h.otherEffects, e)
 		}
 	}
+	if reads && !h.storeFails {
+		h.step(StoreRead{})
+	}
 }
 
 func (h *harness) recordAnswer(id QueryID, e Effect) {
--- a/pkg/core/gateway/members.go
+++ b/pkg/core/gateway/members.go
@@ -103,8 +103,12 @@
 	View ViewRevisions `json:"view"`
 	// StoreDown means that the daemon's calls to the store fail.
 	StoreDown bool `json:"storeDown"`
-	// Watching means that the daemon watches the store and its calls to the store work.
+	// Watching means that the daemon watches the store, has read it since it began to, and that
+	// its calls to the store work.
 	Watching bool `json:"watching,omitempty"`
+	// ReadAge is the time since the daemon read all kinds from the store, valid if HasRead.
+	HasRead bool          `json:"hasRead,omitempty"`
+	ReadAge time.Duration `json:"readAge,omitempty"`
 	// Age is the time since the daemon itself told this entry, if it came by way of others.
 	Age time.Duration `json:"age,omitempty"`
 	// Cores is the CPU time that the daemon may use, in cores.
@@ -158,6 +162,8 @@
 	// responsive means that the daemon has told of itself recently, or had, and its entry was
 	// renewed often enough since.
 	responsive bool
+	// reading is the latest of which it has told.
+	reading reading
 	// sections are what it last told about its own requests.
 	sections receivedSections
 }
@@ -205,8 +211,9 @@
 	selfActive bool
 	selfNamed  bool
 	writerTurn int
-	// watcher means that this daemon watches the store.
-	watcher bool
+	// watcher means that this daemon watches the store since watcherSince.
+	watcher      bool
+	watcherSince model.Time
 	// watchersLogged is the last log entry about the watchers of the store.
 	watchersLogged Log
 	// viewConfirmed means that a view was fetched after confirmAfter.
@@ -230,7 +237,8 @@
 	e.View = s.members.view
 	e.StoreDown = s.storeDown
 	e.CallsPerSecond = s.members.callsPerSecond
-	e.Watching = s.members.watcher && !s.storeDown
+	e.Watching = s.isWatching()
+	e.HasRead, e.ReadAge = s.ownReading()
 	switch {
 	case s.stopping:
 		e.State = DaemonLeaving
@@ -307,5 +315,5 @@
 // isFirstWatcher reports whether this daemon is the first of those that watch the store, so that
 // only one daemon deletes entries.
 func (s *State) isFirstWatcher() bool {
-	return s.members.watcher && !s.storeDown && s.placeOfSelf(s.storeOrder()) == 0
+	return s.isWatching() && s.placeOfSelf(s.storeOrder()) == 0
 }
--- a/pkg/core/gateway/rolloutfleet_test.go
+++ b/pkg/core/gateway/rolloutfleet_test.go
@@ -313,6 +313,7 @@
 		return
 	}
 	d.adopt(d.f.order, d.f.revision)
+	d.step(StoreRead{})
 }
 
 func (d *fleetDaemon) adopt(o *RolloutOrder, revision uint64) {
@@ -386,6 +387,8 @@
 		if e.On {
 			f.after(20*time.Millisecond, d.readStore)
 		}
+	case ReadStore:
+		f.after(20*time.Millisecond, d.readStore)
 	case WriteVerdict:
 		d.writeVerdict(e)
 	}
--- a/pkg/core/gateway/rollouts.go
+++ b/pkg/core/gateway/rollouts.go
@@ -222,7 +222,7 @@
 
 // contact reports whether this daemon reaches the store or hears another daemon.
 func (s *State) contact() bool {
-	if s.members.watcher && !s.storeDown {
+	if s.isWatching() {
 		return true
 	}
 	for _, d := range s.daemons {
--- a/pkg/core/gateway/views.go
+++ b/pkg/core/gateway/views.go
@@ -101,7 +101,7 @@
 	var watching []*daemon
 	order := s.storeOrder()
 	for _, e := range order[:min(len(order), maxWatchers)] {
-		if d, ok := s.daemons[e.Name]; ok && !s.fetchFails(d) {
+		if d, ok := s.daemons[e.Name]; ok && !d.StoreDown && !s.fetchFails(d) {
 			watching = append(watching, d)
 		}
 	}
@@ -141,6 +141,7 @@
 		return
 	}
 	s.storeEra, s.members.eraSeenAt, s.members.viewConfirmed = e.Era, s.now, false
+	s.proof.eraBegins(s.now, s.proofLimit())
 	if e.Copied {
 		s.emit(Log{Kind: LogStoreCopied, Number: int64(e.Era)})
 	}
@@ -156,6 +157,7 @@
 	if e.OK {
 		d.fetched = d.fetched.merge(e.Fetch.View)
 		s.members.viewConfirmed = s.members.viewConfirmed || s.now >= s.members.confirmAfter() && e.Fetch.View.Era >= s.storeEra && (e.Fetch.Retained || s.storeEra == 0)
+		s.adoptReadings()
 		s.startFromCapacities(d.Name, e.Capacities)
 	} else {
 		d.fetchFailedAt = s.now
--- a/pkg/core/gateway/watchers.go
+++ b/pkg/core/gateway/watchers.go
@@ -46,21 +46,21 @@
 }
 
 // storeOrder returns the daemons that may watch the store, this one included: the responsive
-// ones that reach it. Those that leave come last. Failure domains take turns, so that the
-// first daemons, which watch the store, are in as many domains as there are; within a domain
-// daemons are ordered by a hash of the name.
+// ones. Those that leave come last, and after them those whose calls to the store fail. Failure
+// domains take turns, so that the first daemons, which watch the store, are in as many domains
+// as there are; within a domain daemons are ordered by a hash of the name.
 func (s *State) storeOrder() []DaemonEntry { return s.storeOrderOf(s.isResponsive) }
 
-// storeCandidates returns this daemon and those that fulfil a condition and reach the store, in
-// no order.
+// storeCandidates returns this daemon and those that fulfil a condition, in no order.
 func (s *State) storeCandidates(isCandidate func(*daemon) bool) []DaemonEntry {
 	self := s.opt.Self
+	self.StoreDown = s.storeDown
 	if s.stopping {
 		self.State = DaemonLeaving
 	}
 	out := []DaemonEntry{self}
 	for _, d := range s.daemons {
-		if isCandidate(d) && !d.StoreDown {
+		if isCandidate(d) {
 			out = append(out, d.DaemonEntry)
 		}
 	}
@@ -70,17 +70,17 @@
 // storeOrderOf is storeOrder with another condition.
 func (s *State) storeOrderOf(isCandidate func(*daemon) bool) []DaemonEntry {
 	order := s.storeCandidates(isCandidate)
-	leavingLast := func(a, b DaemonEntry) int {
-		return compareBool(a.State == DaemonLeaving, b.State == DaemonLeaving)
+	unfitLast := func(a, b DaemonEntry) int {
+		return cmp.Or(compareBool(a.StoreDown, b.StoreDown), compareBool(a.State == DaemonLeaving, b.State == DaemonLeaving))
 	}
-	slices.SortFunc(order, func(a, b DaemonEntry) int { return cmp.Or(leavingLast(a, b), compareByHash(a, b)) })
+	slices.SortFunc(order, func(a, b DaemonEntry) int { return cmp.Or(unfitLast(a, b), compareByHash(a, b)) })
 	turns, turnOf := map[string]int{}, make(map[string]int, len(order))
 	for _, e := range order {
 		turnOf[e.Name] = turns[e.FailureDomain]
 		turns[e.FailureDomain]++
 	}
 	slices.SortStableFunc(order, func(a, b DaemonEntry) int {
-		return cmp.Or(leavingLast(a, b), cmp.Compare(turnOf[a.Name], turnOf[b.Name]))
+		return cmp.Or(unfitLast(a, b), cmp.Compare(turnOf[a.Name], turnOf[b.Name]))
 	})
 	return order
 }
@@ -102,30 +102,38 @@
 }
 
 // StoreRank returns this daemon's place, from 0, among the daemons that may watch the store,
-// and the number of these.
+// and the number of these whose calls to the store work, this one included.
 func (s *State) StoreRank() (place, count int) {
 	order := s.storeOrder()
-	return s.placeOfSelf(order), len(order)
+	return s.placeOfSelf(order), s.countReaching(order)
+}
+
+// countReaching returns the number of daemons whose calls to the store work, this one included.
+func (s *State) countReaching(entries []DaemonEntry) int {
+	count := 0
+	for _, e := range entries {
+		if !e.StoreDown || s.isSelf(e) {
+			count++
+		}
+	}
+	return count
 }
 
 // updateWatcher decides whether this daemon watches the store: if it is one of the first
-// that may, or if it has watched so far and leaves or is not relieved.
+// that may, or if it has watched so far and leaves or is not relieved. One whose calls fail needs
+// no relief.
 func (s *State) updateWatcher() {
 	m := &s.members
 	order := s.watchOrder()
-	watcher := s.placeOfSelf(order) < maxWatchers || m.watcher && (s.stopping || !s.isRelieved(order))
+	watcher := s.placeOfSelf(order) < maxWatchers || m.watcher && (s.stopping || !s.storeDown && !s.isRelieved(order))
 	if s.now < model.Time(watcherStartDelay) && !s.opt.IsSeed {
 		watcher = false
 	}
-	if !watcher {
-		// A daemon that does not call the store cannot tell from earlier failures
-		// whether the store is down now.
-		s.storeDown = false
-	}
 	if watcher != m.watcher {
-		m.watcher, m.selfGossipPending = watcher, true
+		m.watcher, m.watcherSince, m.selfGossipPending = watcher, s.now, true
 		s.emit(WatchStore{On: watcher})
 	}
+	s.forgetStoreFailure()
 	s.logWatchers(order[:min(len(order), maxWatchers)])
 }
 
@@ -153,6 +161,12 @@
 	return s.storeOrderOf(func(d *daemon) bool { return s.toldWithin(d, silence) })
 }
 
+// isWatching reports whether this daemon watches the store, has read it since it began to, and its
+// calls to the store work: only then do the others rely on it.
+func (s *State) isWatching() bool {
+	return s.members.watcher && !s.storeDown && s.proof.hasRead && s.proof.readAt >= s.members.watcherSince
+}
+
 // watchSilence is how long no daemon may tell that it watches the store.
 func (s *State) watchSilence() time.Duration {
 	if s.entriesAreRelayed() {
@@ -164,7 +178,7 @@
 // WatchAge returns how long ago a daemon last told that it watches the store; 0 if this one
 // does.
 func (s *State) WatchAge() time.Duration {
-	if s.members.watcher && !s.storeDown {
+	if s.isWatching() {
 		return 0
 	}
 	latest := model.Time(0)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -59,6 +59,8 @@
 	// Refresh queries the store again for changes that the watches should have
 	// delivered.
 	Refresh()
+	// ReadStore reads all kinds from the store now and posts gateway.StoreRead.
+	ReadStore()
 	// RegisterAgain writes this daemon's entry again.
 	RegisterAgain()
 	// RemoveDaemon deletes the entry of a daemon.
@@ -161,6 +163,8 @@
 		r.store.SetWatching(e.On)
 	case gateway.RefreshView:
 		r.store.Refresh()
+	case gateway.ReadStore:
+		r.store.ReadStore()
 	case gateway.ApplyLimits:
 		r.limits = e.Limits
 		r.onLimits(e.Limits)
@@ -201,11 +205,9 @@
 	return r.core.OpenQueries()
 }
 
-// StoreRank returns this daemon's rank, from 0, among the daemons that are alive and
-// reach the store, and the number of those that watch the store.
-func (r *Runtime) StoreRank() (place, watchers int) {
+// WatchTurn returns this daemon's turn among those that watch the store.
+func (r *Runtime) WatchTurn() gateway.WatchTurn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	place, _ = r.core.StoreRank()
-	return place, r.core.WatcherCount()
+	return r.core.WatchTurn()
 }
--- a/pkg/edge/follower.go
+++ b/pkg/edge/follower.go
@@ -28,15 +28,13 @@
 func isStore(source gateway.ViewSource) bool { return source.Daemon == "" }
 
 const (
-	// fleetWatchInterval is the time within which some daemon of the fleet starts a new
-	// watch, since a watch may be cut off without notice: the watches of n watching
-	// daemons end in turn, by the time of day.
-	fleetWatchInterval = 2 * time.Second
 	// maxWatchWait bounds the wait of a watch; the store counts each watch as a call.
 	maxWatchWait = 12 * time.Second
 	// refreshWait is the wait of a watch that is started because another daemon knows
 	// of a change.
 	refreshWait = 300 * time.Millisecond
+	// readWait is the wait of a watch that reads what the store holds now.
+	readWait = time.Millisecond
 	// watchGrace is how long after the wait of a watch its answer may still arrive.
 	watchGrace = 700 * time.Millisecond
 	// callTimeout is how long a call to the store other than a watch may take before it
@@ -71,9 +69,11 @@
 	store   Store
 	decoder Decoder
 	post    func(gateway.Event)
-	// onInvalid and rank are described in FollowerConfig.
+	// onInvalid, turn and lag are described in FollowerConfig.
 	onInvalid func(kind Kind, name string, err error)
-	rank      func() (place, count int)
+	turn      func() gateway.WatchTurn
+	lag       func() time.Duration
+	reads     readLog
 
 	// applying is held while a change is recorded and posted, so that events arrive in
 	// the order of the changes. It is taken before mu, never after it.
@@ -90,10 +90,12 @@
 	failing  bool
 	watching bool
 	wakeup   chan struct{}
-	// cancelWatch holds the cancel functions of the running watches; refreshDue are the
-	// kinds whose next watch is to be short.
+	// cancelWatch holds the cancel functions of the running watches; refreshDue has the waits
+	// of the next watches that are to be short.
 	cancelWatch map[Kind]context.CancelFunc
-	refreshDue  map[Kind]bool
+	refreshDue  map[Kind]time.Duration
+	// readPending means that all kinds are to be read once the configuration was.
+	readPending bool
 	// unconfirmed are the kinds whose state comes from a list that may be old, until a
 	// call to the store, of this daemon or of one whose view was fetched since, has
 	// confirmed it or brought what is newer. Daemons that do not watch the store do not
@@ -119,16 +121,23 @@
 	// OnInvalid is called for objects that cannot be decoded, for panics while a kind
 	// is followed, and for daemons whose entry could not be removed.
 	OnInvalid func(kind Kind, name string, err error)
-	// Rank returns this daemon's rank, from 0, among the daemons that reach the store,
-	// and the number of those that watch it and tell the others of changes.
-	Rank func() (place, count int)
+	// Turn returns this daemon's turn among those that watch the store.
+	Turn func() gateway.WatchTurn
+	// Kinds are those that are followed; nil means Kinds.
+	Kinds []Kind
+	// Lag returns the longest time for which bytes that are read now may have waited in
+	// this daemon; nil if that is not measured.
+	Lag func() time.Duration
 }
 
 // NewFollower returns a Follower that knows no kind yet.
 func NewFollower(c FollowerConfig) *Follower {
+	if c.Lag == nil {
+		c.Lag = func() time.Duration { return 0 }
+	}
 	return &Follower{
-		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, rank: c.Rank,
-		view: map[Kind]KindState{}, relistDue: map[Kind]bool{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]bool{}, unconfirmed: map[Kind]bool{}, retained: map[Kind]map[string]Retained{},
+		store: c.Store, decoder: panicSafeDecoder{c.Decoder}, post: c.Post, onInvalid: c.OnInvalid, turn: c.Turn, lag: c.Lag, reads: newReadLog(c.Kinds),
+		view: map[Kind]KindState{}, relistDue: map[Kind]bool{}, wakeup: make(chan struct{}), cancelWatch: map[Kind]context.CancelFunc{}, refreshDue: map[Kind]time.Duration{}, unconfirmed: map[Kind]bool{}, retained: map[Kind]map[string]Retained{},
 		daemonsListed: make(chan struct{}), registerRequests: make(chan struct{}, 1),
 	}
 }
@@ -221,7 +230,7 @@
 		unconfirmed = len(f.unconfirmed) > 0
 	}
 	switch {
-	case f.watching || f.refreshDue[kind]:
+	case f.watching || f.isShort(kind):
 		return 0
 	case unconfirmed:
 		return time.Until(f.confirmAfter)
@@ -231,15 +240,15 @@
 
 // retryConfigNow interrupts the watch of the configuration: after a failure the loops
 // of the other kinds wait until a call for the configuration works.
-func (f *Follower) retryConfigNow() { f.interruptWatches(KindConfig) }
+func (f *Follower) retryConfigNow() { f.interruptWatches(refreshWait, KindConfig) }
 
 // interruptWatches ends the watches of kinds, which are then started again with a short
 // wait.
-func (f *Follower) interruptWatches(kinds ...Kind) {
+func (f *Follower) interruptWatches(wait time.Duration, kinds ...Kind) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, kind := range kinds {
-		f.refreshDue[kind] = true
+		f.refreshDue[kind] = wait
 		if cancel, ok := f.cancelWatch[kind]; ok {
 			cancel()
 		}
@@ -258,20 +267,26 @@
 func (f *Follower) SetWatching(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if on && !f.watching {
+		// The others rely on this daemon once it has read all kinds.
+		for _, kind := range f.reads.kinds {
+			f.refreshDue[kind] = readWait
+		}
+	}
 	f.watching = on
 	f.wakeLoops()
 }
 
 // syncOnce lists the kind if it is not known, otherwise waits for its next changes.
 func (f *Follower) syncOnce(ctx context.Context, kind Kind) error {
-	// rank takes the reducer's lock. It must not be called while f.mu is held: effects
+	// turn takes the reducer's lock. It must not be called while f.mu is held: effects
 	// take f.mu while the reducer's lock is held.
-	place, count := f.rank()
+	turn := f.turn()
 	era := f.store.Era()
 	f.mu.Lock()
 	known, ok := f.view[kind]
 	ok = ok && !f.relistDue[kind] && known.Era >= era
-	wait := f.watchWait(kind, place, count)
+	wait := f.watchWait(kind, turn)
 	if !ok {
 		f.mu.Unlock()
 		return f.listKind(ctx, kind, false)
@@ -290,12 +305,14 @@
 	if at.Era < known.Era {
 		return fmt.Errorf("%w: watch %s: answered in era %d, %d is known", ErrStore, kind, at.Era, known.Era)
 	}
+	answered := time.Now().Add(-f.lag())
 	f.recordStoreCall(kind, nil)
 	if at.Era > known.Era {
 		return nil
 	}
 	f.applyChanges(kind, changes, at, sourceWatch, f.afterOutage())
 	f.confirm(kind)
+	f.recordRead(kind, answered, at.Era)
 	return nil
 }
 
@@ -319,10 +336,10 @@
 }
 
 // watchWait returns how long to wait for changes of a kind. The caller holds the lock.
-func (f *Follower) watchWait(kind Kind, place, count int) time.Duration {
-	if f.refreshDue[kind] {
+func (f *Follower) watchWait(kind Kind, turn gateway.WatchTurn) time.Duration {
+	if wait, ok := f.refreshDue[kind]; ok {
 		delete(f.refreshDue, kind)
-		return refreshWait
+		return wait
 	}
 	if f.unconfirmed[kind] {
 		return refreshWait
@@ -330,23 +347,30 @@
 	if kind == KindDaemons {
 		return maxWatchWait
 	}
-	return untilTurn(time.Now(), place, count)
+	return untilTurn(time.Now(), turn)
 }
 
 func (f *Follower) isRefreshDue(kind Kind) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.refreshDue[kind]
+	return f.isShort(kind)
+}
+
+// isShort reports whether the next watch of a kind is to be short. The caller holds the lock.
+func (f *Follower) isShort(kind Kind) bool {
+	_, short := f.refreshDue[kind]
+	return short
 }
 
 // Refresh queries the store again because another daemon knows of a change that this
 // daemon's watches did not deliver.
 func (f *Follower) Refresh() {
-	f.interruptWatches(KindConfig, KindServers, KindEvacuations, KindRollouts)
+	f.interruptWatches(refreshWait, KindConfig, KindServers, KindEvacuations, KindRollouts)
 }
 
 func (f *Follower) listKind(ctx context.Context, kind Kind, mayBeStale bool) error {
 	return callStore(ctx, func(ctx context.Context) error {
+		sent := time.Now()
 		objects, at, err := f.store.List(ctx, kind, mayBeStale)
 		if err != nil {
 			return err
@@ -359,6 +383,7 @@
 		f.replaceState(kind, newKindState(objects, at), source, f.afterOutage())
 		if !mayBeStale && at.Era == f.store.Era() {
 			f.confirm(kind)
+			f.recordRead(kind, sent, at.Era)
 		}
 		return nil
 	})
@@ -407,11 +432,23 @@
 		f.lastFailure = time.Now()
 		f.confirmAfter = f.lastFailure.Add(confirmPause/2 + rand.N(confirmPause))
 	}
+	recovered := ok && f.failing
+	read := f.readPending && kind == KindConfig
+	if read {
+		f.readPending = false
+	}
 	if f.failing == ok {
 		f.failing = !ok
 		f.wakeLoops()
 	}
 	f.mu.Unlock()
+	if ok && (read || recovered) {
+		f.interruptWatches(readWait, f.reads.others(kind)...)
+	}
+	if recovered && kind != KindDaemons {
+		// A watch that began while the store gave no answer gets none any more.
+		f.interruptWatches(readWait, KindDaemons)
+	}
 	event := gateway.StoreReached{OK: ok, Objects: objectsOf[kind]}
 	if err != nil {
 		event.Cause = err.Error()
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -18,11 +18,12 @@
 	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries)), Sections: encodeSections(sections)}
 	for i, e := range entries {
 		message.Daemons[i] = &gossippb.Daemon{
-			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
+			ReadAgeMs: encodeReadAge(e),
+			Name:      e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
 			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
 			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations, StoreEra: e.View.Era, RolloutsRevision: e.View.Rollouts,
-			WatchesStore: e.Watching, AgeMs: uint32(min(max(0, e.Age.Milliseconds()), math.MaxUint32)),
+			WatchesStore: e.Watching, AgeMs: toMilliseconds(e.Age),
 			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
 		}
 	}
@@ -33,6 +34,20 @@
 	return data, nil
 }
 
+// toMilliseconds returns an age as messages tell it.
+func toMilliseconds(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
+}
+
+// encodeReadAge rounds up, so that no reading seems younger than it is.
+func encodeReadAge(e gateway.DaemonEntry) *uint32 {
+	if !e.HasRead {
+		return nil
+	}
+	age := toMilliseconds(e.ReadAge + time.Millisecond - 1)
+	return &age
+}
+
 // decodeGossip decodes a datagram and validates its entries.
 func decodeGossip(data []byte) (gateway.GossipReceived, error) {
 	var message gossippb.Gossip
@@ -45,6 +60,7 @@
 			Name: d.GetName(), Incarnation: d.GetIncarnation(), Counter: d.GetCounter(),
 			CallerAddress: d.GetCallerAddress(), PeerAddress: d.GetPeerAddress(), FailureDomain: d.GetFailureDomain(),
 			State: decodeState(d.GetState()), ConfigVersion: d.GetConfigVersion(), View: decodeRevisions(d), StoreDown: d.GetStoreDown(),
+			HasRead: d.ReadAgeMs != nil, ReadAge: time.Duration(d.GetReadAgeMs()) * time.Millisecond,
 			Watching: d.GetWatchesStore(), Age: time.Duration(d.GetAgeMs()) * time.Millisecond,
 			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
 		}
--- a/pkg/edge/gossipcheck_test.go
+++ b/pkg/edge/gossipcheck_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 )
@@ -47,3 +48,25 @@
 		t.Errorf("%+v, error %v", got, err)
 	}
 }
+
+// Guards against a reading of the store that seems younger than it is, or was never made, after
+// its way through a message.
+func TestReadAgeIsRoundedUp(t *testing.T) {
+	for _, e := range []gateway.DaemonEntry{
+		{Name: "a", HasRead: true, ReadAge: 1500 * time.Microsecond},
+		{Name: "b", HasRead: true},
+		{Name: "c"},
+	} {
+		data, err := encodeGossip([]gateway.DaemonEntry{e}, gateway.Sections{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decodeGossip(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := got.Daemons[0]; d.HasRead != e.HasRead || d.ReadAge < e.ReadAge || d.ReadAge > e.ReadAge+time.Millisecond {
+			t.Errorf("%+v became %+v", e, d)
+		}
+	}
+}
--- a/pkg/edge/modelstore_test.go
+++ b/pkg/edge/modelstore_test.go
@@ -137,6 +137,17 @@
 	return s.silent[daemon]
 }
 
+// totalCalls returns the number of calls of all daemons.
+func (s *modelStore) totalCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.calls {
+		sum += n
+	}
+	return sum
+}
+
 // stateAt returns the objects of a kind at a time, and the store's revision then. The
 // caller holds the lock.
 func (s *modelStore) stateAt(kind Kind, at time.Time) ([]Object, uint64) {
--- a/pkg/edge/retained.go
+++ b/pkg/edge/retained.go
@@ -276,6 +276,9 @@
 	f.mu.Lock()
 	previous := f.era
 	f.era = max(f.era, era)
+	if era > previous {
+		clear(f.reads.at)
+	}
 	var outdated []Kind
 	for _, kind := range slices.Concat(Kinds, []Kind{KindRollouts}) {
 		if known, ok := f.view[kind]; ok && known.Era < f.era {
@@ -289,7 +292,7 @@
 	}
 	f.post(gateway.StoreEraSeen{Era: era, Copied: len(outdated) > 0 || previous > 0})
 	if relist {
-		f.interruptWatches(outdated...)
+		f.interruptWatches(refreshWait, outdated...)
 	}
 }
 
--- a/pkg/edged/edged.go
+++ b/pkg/edged/edged.go
@@ -154,7 +154,7 @@
 	core := gateway.New(gateway.Options{
 		Self: self, RegionOf: s.Regions, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, RetryWindow: s.Retry.Window,
 		Quota:      quota.Bounds{Window: s.Quota.Window, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack},
-		MaxSilence: s.maxSilence(), Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
+		MaxSilence: s.maxSilence(), ApplyWithin: s.ApplyWithin, Seed: rand.Uint64(), Seeds: s.seedAddresses(), IsSeed: slices.Contains(s.Seeds, s.ownIP()),
 		Rollout: s.rolloutLimits(),
 	})
 	d.registry = prometheus.NewRegistry()
@@ -178,7 +178,7 @@
 	d.explainer = edge.NewExplainer(d.runtime, d.logExplained(m))
 	d.follower = edge.NewFollower(edge.FollowerConfig{
 		Store: p.NewStore(s.StoreAddress, m.StoreCall), Decoder: p.Decoder, Post: d.runtime.Post,
-		OnInvalid: d.logInvalidObject, Rank: d.runtime.StoreRank,
+		OnInvalid: d.logInvalidObject, Turn: d.runtime.WatchTurn, Kinds: s.followedKinds(), Lag: lagProbe.Lag,
 	})
 	registerStatus(d.registry, d.status, d.log.Dropped)
 	registerLoad(d.registry, d.budget.Used, d.headBudget.Used, lagProbe.Lag)
--- a/pkg/edged/logs.go
+++ b/pkg/edged/logs.go
@@ -45,6 +45,7 @@
 	gateway.LogDaemonSeen:       logevent.EdgeDaemonSeen,
 	gateway.LogDaemonSilent:     logevent.EdgeDaemonSilent,
 	gateway.LogWatchersChanged:  logevent.EdgeWatchersChanged,
+	gateway.LogViewUnproven:     logevent.EdgeViewUnproven,
 	gateway.LogReady:            logevent.EdgeReady,
 	gateway.LogNotReady:         logevent.EdgeNotReady,
 	gateway.LogStoreLost:        logevent.EdgeStoreLost,
@@ -191,7 +192,7 @@
 	}
 	return []logevent.Field{
 		logevent.Str("config_from", from), logevent.Str("config_by", o.Source.Call), logevent.Int("config_age_ms", o.Age.Milliseconds()),
-		logevent.Int("watch_age_ms", o.WatchAge.Milliseconds()),
+		logevent.Int("proof_age_ms", o.ProofAge.Milliseconds()),
 	}
 }
 
--- a/pkg/edged/metrics.go
+++ b/pkg/edged/metrics.go
@@ -194,6 +194,7 @@
 	gauge("ready", "1 if the daemon takes requests.", func(s gateway.Status) float64 { return toFloat(s.Ready) })
 	gauge("store_watcher", "1 if the daemon watches the store.", func(s gateway.Status) float64 { return toFloat(s.Watcher) })
 	gauge("store_watch_age_seconds", "Time since a daemon last told that it watches the store; 0 if this one does.", func(s gateway.Status) float64 { return s.WatchAge.Seconds() })
+	gauge("store_proof_age_seconds", "Time for which the daemon has not known that its view is that of the store.", func(s gateway.Status) float64 { return s.ProofAge.Seconds() })
 	gauge("store_down", "1 if calls to the store fail.", func(s gateway.Status) float64 { return toFloat(s.StoreDown) })
 	gauge("store_era", "Era of the store; 0 if it names none. It rises when the store comes back from a copy.", func(s gateway.Status) float64 { return float64(s.StoreEra) })
 	gauge("held_evacuations", "Evacuations in force that the store no longer shows since it came back from a copy.", func(s gateway.Status) float64 { return float64(s.HeldEvacuations) })
--- a/pkg/edged/reload.go
+++ b/pkg/edged/reload.go
@@ -46,7 +46,7 @@
 }
 
 // reloadSettings reads the settings file again and applies the retry budget, the
-// contact loss and the seeds. An invalid file is logged and changes nothing.
+// contact loss, the bound on changes and the seeds. An invalid file is logged and changes nothing.
 func (d *daemon) reloadSettings() {
 	d.settingsModTime = modTime(d.settings.Path)
 	s, err := LoadSettings(d.settings.Path)
@@ -55,7 +55,7 @@
 		return
 	}
 	d.runtime.Post(gateway.SettingsChanged{
-		RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, MaxSilence: s.maxSilence(), Seeds: s.seedAddresses(),
+		RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack, MaxSilence: s.maxSilence(), ApplyWithin: s.ApplyWithin, Seeds: s.seedAddresses(),
 	})
 	d.log.Write(logevent.EdgeSettingsRead, nil)
 }
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -56,6 +56,9 @@
 	// ContactLoss is the silence after which a daemon must no longer be named to
 	// callers.
 	ContactLoss time.Duration
+	// ApplyWithin is the time after its acknowledgement by the store within which a change is
+	// to be in force at each daemon that reaches the store.
+	ApplyWithin time.Duration
 	// AddressTTL is the time to live of the addresses that callers are given.
 	AddressTTL time.Duration
 	LogLevel   log.Level
@@ -126,6 +129,9 @@
 	maxBound           = 10 * time.Minute
 	defaultStopTimeout = 6 * time.Second
 	defaultContactLoss = 4 * time.Second
+	defaultApplyWithin = 3 * time.Second
+	minApplyWithin     = time.Second
+	maxApplyWithin     = 10 * time.Minute
 	minContactLoss     = 100 * time.Millisecond
 	maxContactLoss     = 10 * time.Minute
 )
@@ -156,7 +162,7 @@
 }
 
 func readSettings(root yamldoc.Node) *Settings {
-	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "memory_mb", "descriptors", "retry", "quota", "rollout", "stop", "contact_loss", "address_ttl", "log")
+	m := root.Map("vm", "failure_domain", "regions", "listen", "peer_port", "seeds", "store", "processor", "memory_mb", "descriptors", "retry", "quota", "rollout", "stop", "contact_loss", "apply_within", "address_ttl", "log")
 	listen := m.Need("listen").Map("caller", "ready", "directory", "admin")
 	processor := m.Get("processor").Map("share", "cores")
 	retry := m.Get("retry").Map("ratio", "slack", "window")
@@ -181,6 +187,7 @@
 		},
 		StopTimeout: m.Get("stop").Duration(defaultStopTimeout, minStopTimeout, maxStopTimeout),
 		ContactLoss: m.Get("contact_loss").Duration(defaultContactLoss, minContactLoss, maxContactLoss),
+		ApplyWithin: m.Get("apply_within").Duration(defaultApplyWithin, minApplyWithin, maxApplyWithin),
 		AddressTTL:  m.Get("address_ttl").Duration(defaultAddressTTL, minAddressTTL, maxAddressTTL),
 		LogLevel:    log.MustParseLevel(m.Get("log").OneOf(defaultLogLevel.String(), "debug", "info", "warn", "error")),
 	}
--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -22,6 +22,7 @@
 	EdgeConfigIgnored    ID = 1721
 	EdgeObjectInvalid    ID = 1722
 	EdgeConfigHeard      ID = 1723
+	EdgeViewUnproven     ID = 1724
 	EdgeServerAdded      ID = 1730
 	EdgeServerRemoved    ID = 1731
 	EdgeServerDraining   ID = 1732
@@ -74,11 +75,12 @@
 	{EdgeAddressInUse, "edge_address_in_use", log.WarnLevel, "Another process holds an address of the daemon, which tries again for as long as an earlier daemon may take to stop."},
 	{EdgeAnswered, "edge_answered", log.InfoLevel, "A request was answered; calls, hedges and retries count its attempts at leafs. A late one, like all requests in lines 1711 to 1713, names in waited_for what it waited for longest, and what was known when the attempt was sent on which it waited."},
 	{EdgePartial, "edge_partial", log.InfoLevel, "A query over shards was answered without some of them; why lists service, reason and leaf of each."},
-	{EdgeRefused, "edge_refused", log.WarnLevel, "A request was not answered by a leaf, or the leaf's answer was a failure; outcome is the reason. config is the version that decided, config_age_ms how long ago this daemon applied it, config_from the store or the daemon that it came from, config_by the call that brought it; watch_age_ms is how long ago a daemon last told that it watches the store."},
+	{EdgeRefused, "edge_refused", log.WarnLevel, "A request was not answered by a leaf, or the leaf's answer was a failure; outcome is the reason. config is the version that decided, config_age_ms how long ago this daemon applied it, config_from the store or the daemon that it came from, config_by the call that brought it; proof_age_ms is for how long this daemon has not known that the store has no later version."},
 	{EdgeAbandoned, "edge_abandoned", log.InfoLevel, "The caller closed its connection; open attempts were cancelled."},
 	{EdgeLinesLeftOut, "edge_lines_left_out", log.InfoLevel, "Log lines of requests that were answered completely and in time, or that were refused for lack of a key or because of a quota, were left out in a second because of the limit on lines; count says how many of the route."},
 	{EdgeConfigApplied, "edge_config_applied", log.InfoLevel, "A version of the configuration, in number, is in force; detail is the call that brought it, subject the daemon that was called if it was not the store, age_ms how long ago another daemon first told of it."},
 	{EdgeConfigIgnored, "edge_config_ignored", log.WarnLevel, "A version older than the one in force was read and not applied; detail and subject say where as in 1720."},
+	{EdgeViewUnproven, "edge_view_unproven", log.WarnLevel, "For age_ms the daemon has not known that its view is that of the store: it has not read the store, and no daemon whose view it has told that it did. It reads the store itself."},
 	{EdgeConfigHeard, "edge_config_heard", log.InfoLevel, "The daemon in subject was the first to tell of a version of the configuration, in number, age_ms before; it is fetched."},
 	{EdgeObjectInvalid, "edge_object_invalid", log.WarnLevel, "An object of the store cannot be used and is ignored."},
 	{EdgeServerAdded, "edge_server_added", log.InfoLevel, "A leaf appeared in the store."},
