--- a/test/fleet/gate_test.go
+++ b/test/fleet/gate_test.go
@@ -13,7 +13,7 @@
 type faults struct {
 	// Delay is the time before each answer.
 	Delay time.Duration
-	// Silent calls get no answer, Refused ones get 503.
+	// Silent calls get no answer, also those that began before, Refused ones get 503.
 	Silent, Refused bool
 	// Kind, if set, is the only kind of object that is affected.
 	Kind string
@@ -59,12 +59,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.mu.Lock()
-	f := g.faults
-	g.mu.Unlock()
-	if f.Kind != "" && !strings.Contains(r.URL.Path, f.Kind) {
-		f = faults{}
-	}
+	f := g.faultsOf(r)
 	select {
 	case <-time.After(f.Delay):
 	case <-r.Context().Done():
@@ -76,6 +71,32 @@
 	case f.Refused:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
-		g.store.ServeHTTP(w, r)
+		g.store.ServeHTTP(&gatedAnswer{w, g, r}, r)
+	}
+}
+
+// faultsOf returns what is wrong now for a request.
+func (g *gate) faultsOf(r *http.Request) faults {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.faults.Kind != "" && !strings.Contains(r.URL.Path, g.faults.Kind) {
+		return faults{}
+	}
+	return g.faults
+}
+
+// gatedAnswer keeps an answer back that would be given while the store is silent.
+type gatedAnswer struct {
+	http.ResponseWriter
+	gate    *gate
+	request *http.Request
+}
+
+// Write implements io.Writer.
+func (a *gatedAnswer) Write(data []byte) (int, error) {
+	if a.gate.faultsOf(a.request).Silent {
+		<-a.request.Context().Done()
+		return 0, a.request.Context().Err()
 	}
+	return a.ResponseWriter.Write(data)
 }
--- a/test/fleet/site_test.go
+++ b/test/fleet/site_test.go
@@ -75,6 +75,8 @@
 	domain       string
 	cores        float64
 	settingsPath string
+	// gate is the daemon's own way to the store; nil if it takes that of the site.
+	gate *gate
 	// output is what all processes of the daemon have written.
 	output child.Output
 
@@ -136,7 +138,10 @@
 
 // writeSettings writes the settings of a daemon, with further lines.
 func (d *daemon) writeSettings(further string) {
-	s := d.site
+	s, gate := d.site, d.gate
+	if gate == nil {
+		gate = s.gate
+	}
 	text := fmt.Sprintf(`vm: %s
 failure_domain: %s
 regions: [{failure_domain: a, region: north}, {failure_domain: b, region: north}, {failure_domain: c, region: north}]
@@ -148,7 +153,7 @@
 retry: {ratio: 0.2, slack: 200, window: 10s}
 stop: %v
 contact_loss: %v
-%s`, d.name, d.domain, d.address(0), d.address(1), d.address(2), d.address(3), s.ports[4], strings.Join(s.seeds, ", "), s.gate.address, d.cores, stop, contact, further)
+%s`, d.name, d.domain, d.address(0), d.address(1), d.address(2), d.address(3), s.ports[4], strings.Join(s.seeds, ", "), gate.address, d.cores, stop, contact, further)
 	if err := os.WriteFile(d.settingsPath, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
