--- a/pkg/logevent/edge.go
+++ b/pkg/logevent/edge.go
@@ -67,7 +67,7 @@
 	{EdgeStarted, "edge_started", log.InfoLevel, "An edge daemon started; version is that of the build."},
 	{EdgeStopStarted, "edge_stop_started", log.InfoLevel, "The graceful shutdown started; open is the number of requests without an answer."},
 	{EdgeStopped, "edge_stopped", log.InfoLevel, "The daemon ends; open requests were cut off if there are any."},
-	{EdgeSettingsRead, "edge_settings_read", log.InfoLevel, "The settings file was read again. Retry budget, contact loss and seeds take effect at once, other changes at the next start."},
+	{EdgeSettingsRead, "edge_settings_read", log.InfoLevel, "The settings file was read again. Retry budget, contact loss, the bound on changes and seeds take effect at once, other changes at the next start."},
 	{EdgeSettingsInvalid, "edge_settings_invalid", log.ErrorLevel, "The settings file has changed and cannot be used; the daemon keeps its current settings."},
 	{EdgeReady, "edge_ready", log.InfoLevel, "The daemon has a configuration and a list of leafs and takes requests, age_ms after its start."},
 	{EdgeNotReady, "edge_not_ready", log.WarnLevel, "The daemon has run for age_ms and takes no requests yet; detail says what it lacks and why. Written when that changes, at most every five seconds."},
