edge: tests of fleets of several sizes run beside each other

Their time is that of synctest bubbles, so what else runs does not change them. Nothing else in the tests differs.

--- a/pkg/edge/modelsilence_test.go
+++ b/pkg/edge/modelsilence_test.go
@@ -28,6 +28,7 @@
 // Guards against changes that nobody reads in time because the store has fallen silent towards
 // the daemons that watch it, and towards their successors (CONFIG, DENIED, DRAIN, EVAC).
 func TestChangesWhileStoreIsSilentToSome(t *testing.T) {
+	t.Parallel()
 	for _, x := range []struct {
 		first  int
 		share  float64
@@ -43,6 +44,7 @@
 			}
 			what := fmt.Sprintf("the store is silent to the first %d in line, %.0f%% in all", x.first, 100*x.share)
 			t.Run(fmt.Sprintf("%d daemons, %s", size, what), func(t *testing.T) {
+				t.Parallel()
 				for range rounds {
 					synctest.Test(t, func(t *testing.T) {
 						f := newDeploymentOfSize(t, size)
@@ -59,12 +61,14 @@
 
 // Guards against an outage of the whole store in which each daemon calls it again and again.
 func TestOutageOfWholeStoreCostsFewCalls(t *testing.T) {
+	t.Parallel()
 	const outage = 14 * time.Second
 	for _, size := range []int{2, 13, 14, 82} {
 		if size > 14 && testing.Short() {
 			continue
 		}
 		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newDeploymentOfSize(t, size)
 				f.store.setSilent(f.daemons)
@@ -89,12 +93,14 @@
 
 // Guards against daemons that read the store although others prove their view.
 func TestCalmFleetReadsStoreInTurn(t *testing.T) {
+	t.Parallel()
 	const calm = 20 * time.Second
 	for _, size := range []int{2, 13, 14, 82, 195} {
 		if size > 14 && testing.Short() {
 			continue
 		}
 		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newDeploymentOfSize(t, size)
 				before := f.store.totalCalls()
--- a/pkg/edge/modelwatchers_test.go
+++ b/pkg/edge/modelwatchers_test.go
@@ -11,7 +11,7 @@
 )
 
 // eachSize runs a test with fleets on both sides of the size from which messages go to some
-// daemons only, and with larger ones. Bounds are those of the deployments of that size.
+// daemons only, and with larger ones, several at once: their time is not the machine's. Bounds are those of the deployments of that size.
 func eachSize(t *testing.T, f func(t *testing.T, fleet *modelFleet)) {
 	for _, size := range []int{2, 13, 14, 82, 195, 560} {
 		if size > 100 && testing.Short() {
@@ -19,6 +19,7 @@
 		}
 		for round := range max(1, 8/(1+size/10)) {
 			t.Run(fmt.Sprintf("%d daemons, round %d", size, round), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { f(t, newDeploymentOfSize(t, size)) })
 			})
 		}
@@ -117,6 +118,7 @@
 // Guards against a directory that names other daemons of a route's home region again and again,
 // because those are passed on first that callers without a region are sent to.
 func TestDirectoryOfRegionIsStable(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{13, 82, 195} {
 		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -150,6 +152,7 @@
 // Guards against callers that are sent to daemons that ended long before, because entries of
 // these are still passed on (DRAIN).
 func TestDirectoryAfterHalfOfFleetIsLost(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		f.kill(f.firstInLine(max(1, len(f.daemons)/2)))
 		time.Sleep(f.contact + 3*time.Second)
@@ -160,6 +163,7 @@
 // Guards against callers that are sent to daemons that ended half of the allowed time before:
 // the other half is for slow machines and for entries that wait on their way (DRAIN).
 func TestDirectoryAtHalfOfBound(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		for _, lost := range []int{1, 9, len(f.daemons) / 2} {
 			f.kill(f.firstInLine(lost))
@@ -172,6 +176,7 @@
 // Guards against a fleet that nobody tells of changes because those that watch the store have
 // left in a planned way and are still taken for living (CONFIG, DRAIN, EVAC).
 func TestChangesAfterWatchersLeave(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		f.leave(f.firstInLine(3))
 		f.checkChanges("after the watchers have left")
@@ -180,6 +185,7 @@
 
 // Guards against the same after the watchers, and those next in line, were lost without a word.
 func TestChangesAfterWatchersAreLost(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []int{3, 6, 9} {
 		eachSize(t, func(t *testing.T, f *modelFleet) {
 			f.kill(f.firstInLine(lost))
@@ -191,6 +197,7 @@
 // Guards against a fleet in which nobody watches the store so long that a change is in force too
 // late, or in which a successor gives the watch back while nobody else has it.
 func TestWatchIsTakenOver(t *testing.T) {
+	t.Parallel()
 	// passingOn is the part of the bound that is left for the change to reach all daemons.
 	const passingOn = time.Second
 	eachSize(t, func(t *testing.T, f *modelFleet) {
@@ -209,6 +216,7 @@
 // Guards against a moment in which nobody watches the store while the watchers leave in a
 // planned way.
 func TestWatchIsHandedOver(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		go f.leave(f.firstInLine(3))
 		for range 200 {
@@ -223,6 +231,7 @@
 // Guards against the same while half of a fleet leaves, a few daemons at a time: those that
 // take over the watch leave next.
 func TestChangesWhileFleetLeaves(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		for step := 0; step < 5; step++ {
 			leaving := f.firstInLine(4)
@@ -240,6 +249,7 @@
 // Guards against the same while daemons are lost and, in addition, a domain is cut off or the
 // store turns a third of the others away.
 func TestChangesAfterLossAndOneMoreFault(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *modelFleet){
 		"a domain is cut off": func(f *modelFleet) { f.cutOff(modelDomains[0]) },
 		"the store turns some away": func(f *modelFleet) {
@@ -264,6 +274,7 @@
 // Guards against roles that change hands in a calm fleet, and against gossip about them that
 // takes more than what is allowed for.
 func TestRolesOfCalmFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		samples  = 200
 		interval = 100 * time.Millisecond
@@ -305,6 +316,7 @@
 // Guards against a failure domain that is cut off from the watchers and waits for what they
 // tell although it reaches the store.
 func TestChangesWhileDomainIsCutOff(t *testing.T) {
+	t.Parallel()
 	eachSize(t, func(t *testing.T, f *modelFleet) {
 		watched := f.watchingDomains()
 		domain := modelDomains[len(modelDomains)-1]
