--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -18,8 +18,8 @@
 	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries)), Sections: encodeSections(sections)}
 	for i, e := range entries {
 		message.Daemons[i] = &gossippb.Daemon{
-			ReadAgeMs: encodeReadAge(e),
-			Name:      e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
+			ReadAgeSteps: encodeReadAge(e),
+			Name:         e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
 			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
 			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations, StoreEra: e.View.Era, RolloutsRevision: e.View.Rollouts,
@@ -39,13 +39,16 @@
 	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
 }
 
+// readAgeStep is the unit of the age of a reading, which then takes one byte in most entries.
+const readAgeStep = 25 * time.Millisecond
+
 // encodeReadAge rounds up, so that no reading seems younger than it is.
 func encodeReadAge(e gateway.DaemonEntry) *uint32 {
 	if !e.HasRead {
 		return nil
 	}
-	age := toMilliseconds(e.ReadAge + time.Millisecond - 1)
-	return &age
+	steps := uint32(min(max(0, (e.ReadAge+readAgeStep-1)/readAgeStep), math.MaxUint32))
+	return &steps
 }
 
 // decodeGossip decodes a datagram and validates its entries.
@@ -60,7 +63,7 @@
 			Name: d.GetName(), Incarnation: d.GetIncarnation(), Counter: d.GetCounter(),
 			CallerAddress: d.GetCallerAddress(), PeerAddress: d.GetPeerAddress(), FailureDomain: d.GetFailureDomain(),
 			State: decodeState(d.GetState()), ConfigVersion: d.GetConfigVersion(), View: decodeRevisions(d), StoreDown: d.GetStoreDown(),
-			HasRead: d.ReadAgeMs != nil, ReadAge: time.Duration(d.GetReadAgeMs()) * time.Millisecond,
+			HasRead: d.ReadAgeSteps != nil, ReadAge: time.Duration(d.GetReadAgeSteps()) * readAgeStep,
 			Watching: d.GetWatchesStore(), Age: time.Duration(d.GetAgeMs()) * time.Millisecond,
 			Cores: d.GetCores(), CallsPerSecond: int(d.GetCallsPerSecond()),
 		}
