gateway, edge: the order of watchers is sorted once a turn; one default of apply_within

WatchTurn ordered all daemons twice, once for its place and once for the number, where StoreRank gives both. The tests of silences play fleets by one function.

--- a/pkg/core/gateway/gateway.go
+++ b/pkg/core/gateway/gateway.go
@@ -33,7 +33,7 @@
 	// MaxSilence is how long a daemon may not be heard of before it counts as gone.
 	MaxSilence time.Duration
 	// ApplyWithin is the time after its acknowledgement by the store within which each daemon
-	// that reaches the store applies a change; 0 means defaultApplyWithin.
+	// that reaches the store applies a change; 0 means DefaultApplyWithin.
 	ApplyWithin time.Duration
 	// IsSeed means that the settings of other daemons name this one as a seed.
 	IsSeed bool
@@ -104,7 +104,7 @@
 // New returns a reducer that knows no configuration and no leafs yet.
 func New(o Options) *State {
 	if o.ApplyWithin == 0 {
-		o.ApplyWithin = defaultApplyWithin
+		o.ApplyWithin = DefaultApplyWithin
 	}
 	return &State{
 		opt:       o,
--- a/pkg/core/gateway/proof.go
+++ b/pkg/core/gateway/proof.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	// defaultApplyWithin replaces Options.ApplyWithin if that is not set.
-	defaultApplyWithin = 3 * time.Second
+	// DefaultApplyWithin replaces Options.ApplyWithin if that is not set.
+	DefaultApplyWithin = 3 * time.Second
 	// maxWatchInterval bounds the time within which some daemon's watches end.
 	maxWatchInterval = 2 * time.Second
 	// proofRelayTime is how long news of a reading takes to nearly all daemons of a large fleet.
@@ -93,8 +93,8 @@
 
 // WatchTurn returns this daemon's turn.
 func (s *State) WatchTurn() WatchTurn {
-	place, _ := s.StoreRank()
-	return WatchTurn{Place: place, Count: s.WatcherCount(), Interval: s.watchInterval()}
+	place, count := s.StoreRank()
+	return WatchTurn{Place: place, Count: min(count, maxWatchers), Interval: s.watchInterval()}
 }
 
 // applyPart returns a part of Options.ApplyWithin.
--- a/pkg/core/gateway/watchers.go
+++ b/pkg/core/gateway/watchers.go
@@ -206,9 +206,3 @@
 		s.emit(entry)
 	}
 }
-
-// WatcherCount returns the number of daemons that are to watch the store.
-func (s *State) WatcherCount() int {
-	_, count := s.StoreRank()
-	return min(count, maxWatchers)
-}
--- a/pkg/edge/gossip.go
+++ b/pkg/edge/gossip.go
@@ -18,12 +18,11 @@
 	message := &gossippb.Gossip{Daemons: make([]*gossippb.Daemon, len(entries)), Sections: encodeSections(sections)}
 	for i, e := range entries {
 		message.Daemons[i] = &gossippb.Daemon{
-			ReadAgeSteps: encodeReadAge(e),
-			Name:         e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
+			Name: e.Name, Incarnation: e.Incarnation, Counter: e.Counter,
 			CallerAddress: e.CallerAddress, PeerAddress: e.PeerAddress, FailureDomain: e.FailureDomain,
 			State: encodeState(e.State), ConfigVersion: e.ConfigVersion, StoreDown: e.StoreDown,
 			ViewRevision: max(e.View.Servers, e.View.Evacuations), ServersRevision: e.View.Servers, EvacuationsRevision: e.View.Evacuations, StoreEra: e.View.Era, RolloutsRevision: e.View.Rollouts,
-			WatchesStore: e.Watching, AgeMs: toMilliseconds(e.Age),
+			WatchesStore: e.Watching, AgeMs: uint32(min(max(0, e.Age.Milliseconds()), math.MaxUint32)), ReadAgeSteps: encodeReadAge(e),
 			Cores: e.Cores, CallsPerSecond: uint32(min(max(0, e.CallsPerSecond), math.MaxUint32)),
 		}
 	}
@@ -34,11 +33,6 @@
 	return data, nil
 }
 
-// toMilliseconds returns an age as messages tell it.
-func toMilliseconds(age time.Duration) uint32 {
-	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
-}
-
 // readAgeStep is the unit of the age of a reading, which then takes one byte in most entries.
 const readAgeStep = 25 * time.Millisecond
 
--- a/pkg/edge/modelsilence_test.go
+++ b/pkg/edge/modelsilence_test.go
@@ -25,6 +25,20 @@
 	return drawn
 }
 
+// playFleet runs rounds of a test beside others, each with a new fleet of a size; without the
+// large ones in short runs.
+func playFleet(t *testing.T, name string, size, rounds int, play func(t *testing.T, f *modelFleet)) {
+	if size > 14 && testing.Short() {
+		return
+	}
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		for range rounds {
+			synctest.Test(t, func(t *testing.T) { play(t, newDeploymentOfSize(t, size)) })
+		}
+	})
+}
+
 // Guards against changes that nobody reads in time because the store has fallen silent towards
 // the daemons that watch it, and towards their successors (CONFIG, DENIED, DRAIN, EVAC).
 func TestChangesWhileStoreIsSilentToSome(t *testing.T) {
@@ -39,21 +53,12 @@
 		{first: 3, share: 0.7, rounds: map[int]int{2: 4, 13: 12, 14: 12, 82: 2, 195: 1}},
 	} {
 		for size, rounds := range x.rounds {
-			if size > 14 && testing.Short() {
-				continue
-			}
 			what := fmt.Sprintf("the store is silent to the first %d in line, %.0f%% in all", x.first, 100*x.share)
-			t.Run(fmt.Sprintf("%d daemons, %s", size, what), func(t *testing.T) {
-				t.Parallel()
-				for range rounds {
-					synctest.Test(t, func(t *testing.T) {
-						f := newDeploymentOfSize(t, size)
-						time.Sleep(rand.N(maxWatchWait))
-						f.store.setSilent(f.drawDaemons(x.first, x.share))
-						time.Sleep(rand.N(3 * time.Second))
-						f.checkChanges("while " + what)
-					})
-				}
+			playFleet(t, fmt.Sprintf("%d daemons, %s", size, what), size, rounds, func(t *testing.T, f *modelFleet) {
+				time.Sleep(rand.N(maxWatchWait))
+				f.store.setSilent(f.drawDaemons(x.first, x.share))
+				time.Sleep(rand.N(3 * time.Second))
+				f.checkChanges("while " + what)
 			})
 		}
 	}
@@ -64,29 +69,22 @@
 	t.Parallel()
 	const outage = 14 * time.Second
 	for _, size := range []int{2, 13, 14, 82} {
-		if size > 14 && testing.Short() {
-			continue
-		}
-		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newDeploymentOfSize(t, size)
-				f.store.setSilent(f.daemons)
-				before := f.store.totalCalls()
-				time.Sleep(outage)
-				// Each daemon reads the store when its view is not proven any more, and then
-				// every 1.6 times the silence at most. Those that watch it retry with a backoff.
-				readings := 1 + int(outage/(16*f.maxSilence/10))
-				most := size*readings + 3*int(outage/(initialBackoff+callTimeout/10))
-				calls := f.store.totalCalls() - before
-				t.Logf("%d calls in %v", calls, outage)
-				if calls > most {
-					t.Errorf("%d calls, want at most %d", calls, most)
-				}
-				f.store.setSilent(nil)
-				time.Sleep(f.contact)
-				f.checkChanges("after the outage")
-			})
+		playFleet(t, fmt.Sprintf("%d daemons", size), size, 1, func(t *testing.T, f *modelFleet) {
+			f.store.setSilent(f.daemons)
+			before := f.store.totalCalls()
+			time.Sleep(outage)
+			// Each daemon reads the store when its view is not proven any more, and then
+			// every 1.6 times the silence at most. Those that watch it retry with a backoff.
+			readings := 1 + int(outage/(16*f.maxSilence/10))
+			most := size*readings + 3*int(outage/(initialBackoff+callTimeout/10))
+			calls := f.store.totalCalls() - before
+			t.Logf("%d calls in %v", calls, outage)
+			if calls > most {
+				t.Errorf("%d calls, want at most %d", calls, most)
+			}
+			f.store.setSilent(nil)
+			time.Sleep(f.contact)
+			f.checkChanges("after the outage")
 		})
 	}
 }
@@ -96,26 +94,19 @@
 	t.Parallel()
 	const calm = 20 * time.Second
 	for _, size := range []int{2, 13, 14, 82, 195} {
-		if size > 14 && testing.Short() {
-			continue
-		}
-		t.Run(fmt.Sprintf("%d daemons", size), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newDeploymentOfSize(t, size)
-				before := f.store.totalCalls()
-				time.Sleep(calm)
-				interval := maxWatchWait
-				f.inTouch()[0].runtime.Inspect(func(s *gateway.State) { interval = s.WatchTurn().Interval })
-				// Three kinds in each turn, the daemons once in maxWatchWait by each of three, and
-				// a tenth more.
-				most := 11 * (3*int(calm/interval) + 3*int(calm/maxWatchWait+1)) / 10
-				calls := f.store.totalCalls() - before
-				t.Logf("%d calls in %v", calls, calm)
-				if calls > most {
-					t.Errorf("%d calls, want at most %d", calls, most)
-				}
-			})
+		playFleet(t, fmt.Sprintf("%d daemons", size), size, 1, func(t *testing.T, f *modelFleet) {
+			before := f.store.totalCalls()
+			time.Sleep(calm)
+			interval := maxWatchWait
+			f.inTouch()[0].runtime.Inspect(func(s *gateway.State) { interval = s.WatchTurn().Interval })
+			// Three kinds in each turn, the daemons once in maxWatchWait by each of three, and
+			// a tenth more.
+			most := 11 * (3*int(calm/interval) + 3*int(calm/maxWatchWait+1)) / 10
+			calls := f.store.totalCalls() - before
+			t.Logf("%d calls in %v", calls, calm)
+			if calls > most {
+				t.Errorf("%d calls, want at most %d", calls, most)
+			}
 		})
 	}
 }
--- a/pkg/edged/settings.go
+++ b/pkg/edged/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/pistachiousher/pistachiousher/pkg/core/gateway"
 	"github.com/pistachiousher/pistachiousher/pkg/yamldoc"
 )
 
@@ -129,7 +130,6 @@
 	maxBound           = 10 * time.Minute
 	defaultStopTimeout = 6 * time.Second
 	defaultContactLoss = 4 * time.Second
-	defaultApplyWithin = 3 * time.Second
 	minApplyWithin     = time.Second
 	maxApplyWithin     = 10 * time.Minute
 	minContactLoss     = 100 * time.Millisecond
@@ -187,7 +187,7 @@
 		},
 		StopTimeout: m.Get("stop").Duration(defaultStopTimeout, minStopTimeout, maxStopTimeout),
 		ContactLoss: m.Get("contact_loss").Duration(defaultContactLoss, minContactLoss, maxContactLoss),
-		ApplyWithin: m.Get("apply_within").Duration(defaultApplyWithin, minApplyWithin, maxApplyWithin),
+		ApplyWithin: m.Get("apply_within").Duration(gateway.DefaultApplyWithin, minApplyWithin, maxApplyWithin),
 		AddressTTL:  m.Get("address_ttl").Duration(defaultAddressTTL, minAddressTTL, maxAddressTTL),
 		LogLevel:    log.MustParseLevel(m.Get("log").OneOf(defaultLogLevel.String(), "debug", "info", "warn", "error")),
 	}
