gateway: one reading is passed on, and told at once only where proofs are missing

Two causes: each message passed on the readings of three watchers, of which the latest proves all that the others do, and a watcher told of its reading at once whenever its last proof was two turns old, which in a large fleet is the rule.

Now the latest reading is passed on, and a daemon tells at once if its proof had reached the limit.

--- a/pkg/core/gateway/gossip.go
+++ b/pkg/core/gateway/gossip.go
@@ -237,10 +237,11 @@
 		return cmp.Or(cmp.Compare(class(a), class(b)), inTurn, cmp.Compare(b.heardAt, a.heardAt), strings.Compare(a.Name, b.Name))
 	})
 	out := []DaemonEntry{s.self()}
+	latest := latestReader(known)
 	for _, d := range known[:min(len(known), maxGossipEntries)] {
 		entry := d.WithoutStoredFields()
 		entry.Age = s.now.Sub(d.toldAt)
-		if !d.Watching {
+		if d != latest {
 			entry.HasRead, entry.ReadAge = false, 0
 		}
 		d.passedOnAt = s.now
--- a/pkg/core/gateway/proof.go
+++ b/pkg/core/gateway/proof.go
@@ -121,8 +121,8 @@
 // ProofAge returns for how long the view has not been proven, at most since the start.
 func (s *State) ProofAge() time.Duration { return s.now.Sub(s.proof.provenAt) }
 
-// storeRead records a reading of this daemon. If the others may lack a proof, they are told at
-// once.
+// storeRead records a reading of this daemon. If it lacked a proof, so may the others, which are
+// told at once.
 func (s *State) storeRead(e StoreRead) {
 	p := &s.proof
 	at := s.now.Add(-e.Age)
@@ -130,7 +130,7 @@
 		at = max(at, p.readAt)
 	}
 	p.readAt, p.hasRead = at, true
-	if s.ProofAge() > 2*s.watchInterval() {
+	if s.ProofAge() >= s.proofLimit() {
 		s.members.selfGossipPending = true
 	}
 	p.provenAt = max(p.provenAt, p.readAt)
@@ -152,6 +152,18 @@
 	}
 }
 
+// latestReader returns the daemon whose reading is passed on: of those that watch the store the one
+// that read it last; nil without one.
+func latestReader(daemons []*daemon) *daemon {
+	var latest *daemon
+	for _, d := range daemons {
+		if d.Watching && d.HasRead && (latest == nil || d.reading.at > latest.reading.at) {
+			latest = d
+		}
+	}
+	return latest
+}
+
 // adoptReading takes a daemon's reading for a proof of this daemon's view, if that lacks nothing
 // that the other knew. Revisions do not show what a list lacks that was old when it was read: a
 // view that is known from such lists alone is not proven by another daemon.
